--- /dev/null
+++ b/internal/fleet/fleet.go
@@ -0,0 +1,345 @@
+// Package fleet deals with the cloud: which types there are, which machines we hold,
+// renting more and giving them back.
+package fleet
+
+import (
+	"fmt"
+	"log/slog"
+	"net/url"
+	"sort"
+	"strconv"
+	"time"
+
+	"gullrudder/internal/outbox"
+	"gullrudder/internal/packed"
+)
+
+// Type is a machine type.
+type Type struct {
+	Name      string   `msgpack:"name"`
+	CPUs      float64  `msgpack:"cpus"`
+	Cards     float64  `msgpack:"cards"`
+	Mem       float64  `msgpack:"mem_gb"`
+	CacheGB   float64  `msgpack:"local_gb"`
+	FetchRate float64  `msgpack:"fetch_gb_per_s"`
+	Price     float64  `msgpack:"hourly"`
+	SpotPrice float64  `msgpack:"low_price"`
+	BootS     float64  `msgpack:"ready_s"`
+	Zones     []string `msgpack:"harbours"`
+}
+
+// Boot is the usual time from the request until the worker reports.
+func (t *Type) Boot() time.Duration { return time.Duration(t.BootS * float64(time.Second)) }
+
+// Kind is what is rented: a type in a zone, ordinary or spot.
+type Kind struct {
+	Type, Zone string
+	Spot       bool
+}
+
+// Host is a machine as the cloud knows it.
+type Host struct {
+	ID, Addr string
+	Kind     Kind
+	Born     time.Time // about when it was requested
+	State    string    // starting, running or failed, as last listed
+	Listed   time.Time // when it was last in a list
+	Deleting bool      // a deletion is on its way
+	Up       bool      // its worker has reported
+	Asked    bool      // known from a rental answer of this leadership
+}
+
+// States in the list.
+const (
+	Starting = "starting"
+	Running  = "running"
+	Failed   = "failed"
+)
+
+const (
+	mostRent   = 50
+	mostDelete = 100
+	mostList   = 500
+)
+
+type kindState struct {
+	refused time.Time // nothing is asked for before this
+	backoff time.Duration
+	asking  bool
+}
+
+// Cloud is the leader's dealings with the cloud.
+type Cloud struct {
+	token   uint64
+	counter int
+	log     *slog.Logger
+	limit   *outbox.Limiter
+	lag     time.Duration
+	epoch   *int
+
+	Types   map[string]*Type
+	Hosts   map[string]*Host
+	Gone    []string // machines whose deletion the cloud has confirmed, to be taken by the owner
+	kinds   map[Kind]*kindState
+	typesAt time.Time
+	listAt  time.Time
+	listing bool
+	asking  bool
+	Lists   int // complete lists read
+	waiting []func(*outbox.Box)
+	pauseTo time.Time
+	seen    map[string]bool
+	dead    map[string]bool // confirmed deletions; lists that lag still show them
+}
+
+// New makes the dealings of a new leadership.
+func New(token uint64, rate float64, lag time.Duration, log *slog.Logger) *Cloud {
+	return &Cloud{token: token, log: log, limit: outbox.NewLimiter(rate * 0.95), lag: lag, epoch: new(int),
+		Types: map[string]*Type{}, Hosts: map[string]*Host{}, kinds: map[Kind]*kindState{}, dead: map[string]bool{}}
+}
+
+// Close makes answers that are still to come harmless.
+func (c *Cloud) Close() { *c.epoch = 1 }
+
+func (c *Cloud) call(box *outbox.Box, call outbox.Call) {
+	done, epoch := call.Done, c.epoch
+	call.Service, call.Timeout = outbox.Cloud, 5*time.Second
+	call.Done = func(now time.Time, r outbox.Result) {
+		if *epoch == 0 {
+			if r.Status == 429 || r.Status == 503 && len(r.Body) == 0 {
+				c.pauseTo = now.Add(max(r.RetryAfter, 500*time.Millisecond))
+			}
+			done(now, r)
+		}
+	}
+	box.Add(call)
+}
+
+// Tick reads types and lists, and sends what waits for the cloud's rate.
+func (c *Cloud) Tick(now time.Time, box *outbox.Box) {
+	if now.Before(c.pauseTo) {
+		return
+	}
+	if c.limit.Available(now) > 0 && !c.asking && !now.Before(c.typesAt) {
+		c.limit.Take(1)
+		c.readTypes(now, box)
+	}
+	for len(c.waiting) > 0 && c.limit.Available(now) > 0 {
+		c.limit.Take(1)
+		send := c.waiting[0]
+		c.waiting = c.waiting[1:]
+		send(box)
+	}
+	if c.limit.Available(now) > 0 && !c.listing && !now.Before(c.listAt) {
+		c.limit.Take(1)
+		c.seen = map[string]bool{}
+		c.list(now, box, "")
+	}
+}
+
+func (c *Cloud) readTypes(now time.Time, box *outbox.Box) {
+	c.asking = true
+	c.call(box, outbox.Call{Method: "GET", Path: "/flavors", Done: func(now time.Time, r outbox.Result) {
+		c.asking = false
+		var a struct {
+			Types []*Type `msgpack:"keels"`
+		}
+		if r.Status != 200 || packed.Unmarshal(r.Body, &a) != nil || len(a.Types) == 0 {
+			c.typesAt = now.Add(time.Second)
+			return
+		}
+		c.typesAt = now.Add(time.Minute)
+		c.Types = map[string]*Type{}
+		for _, t := range a.Types {
+			c.Types[t.Name] = t
+		}
+	}})
+}
+
+func (c *Cloud) list(now time.Time, box *outbox.Box, from string) {
+	c.listing = true
+	sent := now
+	q := url.Values{"most": {strconv.Itoa(mostList)}}
+	if from != "" {
+		q.Set("from", from)
+	}
+	c.call(box, outbox.Call{Method: "GET", Path: "/hosts?" + q.Encode(), Done: func(now time.Time, r outbox.Result) {
+		c.listing = false
+		var a struct {
+			Hosts []struct {
+				ID    string  `msgpack:"id"`
+				Addr  string  `msgpack:"addr"`
+				Type  string  `msgpack:"keel"`
+				Zone  string  `msgpack:"harbour"`
+				Spot  bool    `msgpack:"driftwood"`
+				State string  `msgpack:"trim"`
+				Age   float64 `msgpack:"age_s"`
+			} `msgpack:"oarlocks"`
+			More bool `msgpack:"has_next"`
+		}
+		if r.Status != 200 || packed.Unmarshal(r.Body, &a) != nil {
+			c.listAt = now.Add(time.Second)
+			return
+		}
+		for _, x := range a.Hosts {
+			from = x.ID
+			c.seen[x.ID] = true
+			if c.dead[x.ID] {
+				continue
+			}
+			h := c.Hosts[x.ID]
+			if h == nil {
+				h = &Host{ID: x.ID, Born: now.Add(-time.Duration(x.Age * float64(time.Second)))}
+				c.Hosts[x.ID] = h
+			}
+			h.Addr, h.Kind, h.Listed = x.Addr, Kind{x.Type, x.Zone, x.Spot}, now
+			// A list may be older than the one before.
+			if h.State != Failed && (h.State != Running || x.State != Starting) {
+				h.State = x.State
+			}
+		}
+		if a.More && len(a.Hosts) > 0 {
+			c.listing = true
+			c.waiting = append(c.waiting, func(box *outbox.Box) { c.list(sent, box, from) })
+			return
+		}
+		c.Lists++
+		c.listAt = now.Add(max(2*time.Second, c.lag/2))
+		c.unlisted(now)
+	}})
+}
+
+// unlisted drops machines that the cloud does not list any more: taken back or deleted.
+// That they are gone for certain is for others to find out; here they only stop to count.
+func (c *Cloud) unlisted(now time.Time) {
+	for id, h := range c.Hosts {
+		if c.seen[id] {
+			continue
+		}
+		quiet := now.Sub(h.Listed)
+		if h.Listed.IsZero() {
+			quiet = now.Sub(h.Born)
+		}
+		if quiet > 3*c.lag+5*time.Second {
+			c.log.Info("a machine is not listed any more", "machine", id)
+			delete(c.Hosts, id)
+		}
+	}
+}
+
+// Dead reports whether the cloud has confirmed that the machine is gone.
+func (c *Cloud) Dead(id string) bool { return c.dead[id] }
+
+// Seen takes in that a machine's worker has reported.
+func (c *Cloud) Seen(now time.Time, id, addr string, kind Kind) {
+	h := c.Hosts[id]
+	if h == nil {
+		h = &Host{ID: id, Addr: addr, Born: now, Kind: kind, State: Running}
+		c.Hosts[id] = h
+	}
+	h.Up, h.Kind = true, kind
+	h.Listed = now
+}
+
+func (c *Cloud) kind(k Kind) *kindState {
+	s := c.kinds[k]
+	if s == nil {
+		s = &kindState{}
+		c.kinds[k] = s
+	}
+	return s
+}
+
+// Askable reports whether it makes sense to ask for machines of the kind now.
+func (c *Cloud) Askable(now time.Time, k Kind) bool {
+	s := c.kind(k)
+	return !s.asking && !now.Before(s.refused)
+}
+
+// Rent asks for n machines of a kind. A request whose answer is lost is repeated under
+// the same name until it is answered; the name derives from the token, so no other
+// leader ever uses it.
+func (c *Cloud) Rent(now time.Time, k Kind, n int) {
+	n = min(n, mostRent)
+	c.kind(k).asking = true
+	c.counter++
+	name := fmt.Sprintf("r-%d-%d", c.token, c.counter)
+	c.log.Info("renting", "request", name, "type", k.Type, "zone", k.Zone, "spot", k.Spot, "count", n)
+	c.waiting = append(c.waiting, func(box *outbox.Box) { c.rent(box, k, n, name, 0) })
+}
+
+func (c *Cloud) rent(box *outbox.Box, k Kind, n int, name string, tries int) {
+	c.call(box, outbox.Call{Method: "POST", Path: "/hosts",
+		Body: map[string]any{"charter": name, "keel": k.Type, "harbour": k.Zone, "driftwood": k.Spot, "how_many": n},
+		Done: func(now time.Time, r outbox.Result) {
+			s := c.kind(k)
+			var a struct {
+				Hosts []string `msgpack:"oarlocks"`
+				Error string   `msgpack:"error"`
+			}
+			if len(r.Body) > 0 && packed.Unmarshal(r.Body, &a) != nil {
+				a.Error = "unreadable"
+			}
+			switch {
+			case r.Status == 200 && a.Error == "":
+				s.asking = false
+				for _, id := range a.Hosts {
+					if c.Hosts[id] == nil {
+						c.Hosts[id] = &Host{ID: id, Kind: k, Born: now, State: Starting, Asked: true}
+					}
+				}
+				if len(a.Hosts) < n {
+					s.backoff = backoff(s.backoff)
+					s.refused = now.Add(s.backoff)
+				} else {
+					s.backoff = 0
+				}
+				c.log.Info("rented", "request", name, "asked", n, "got", len(a.Hosts))
+			case r.Status == 503 && a.Error == "no capacity", r.Status == 400:
+				s.asking = false
+				s.backoff = backoff(s.backoff)
+				s.refused = now.Add(s.backoff)
+				c.log.Info("rental refused", "request", name, "status", r.Status, "error", a.Error, "again", s.backoff)
+			default:
+				c.pauseTo = now.Add(min(time.Duration(tries+1)*250*time.Millisecond, 2*time.Second))
+				c.waiting = append(c.waiting, func(box *outbox.Box) { c.rent(box, k, n, name, tries+1) })
+			}
+		}})
+}
+
+func backoff(d time.Duration) time.Duration {
+	return min(max(2*d, 5*time.Second), 40*time.Second)
+}
+
+// Return gives machines back.
+func (c *Cloud) Return(now time.Time, ids []string, why string) {
+	sort.Strings(ids)
+	for len(ids) > 0 {
+		part := ids[:min(len(ids), mostDelete)]
+		ids = ids[len(part):]
+		for _, id := range part {
+			if h := c.Hosts[id]; h != nil {
+				h.Deleting = true
+			}
+			c.log.Info("returning a machine", "machine", id, "why", why)
+		}
+		// A machine that is given back frees places elsewhere: first in the queue.
+		c.waiting = append([]func(*outbox.Box){func(box *outbox.Box) { c.remove(box, part) }}, c.waiting...)
+	}
+}
+
+func (c *Cloud) remove(box *outbox.Box, ids []string) {
+	c.call(box, outbox.Call{Method: "POST", Path: "/hosts/delete", Body: map[string]any{"oarlocks": ids},
+		Done: func(now time.Time, r outbox.Result) {
+			if r.Status != 200 {
+				c.pauseTo = now.Add(300 * time.Millisecond)
+				c.waiting = append([]func(*outbox.Box){func(box *outbox.Box) { c.remove(box, ids) }}, c.waiting...)
+				return
+			}
+			for _, id := range ids {
+				delete(c.Hosts, id)
+				c.dead[id] = true
+			}
+			c.Gone = append(c.Gone, ids...)
+		}})
+}
--- /dev/null
+++ b/internal/httpwire/client.go
@@ -0,0 +1,115 @@
+package httpwire
+
+import (
+	"fmt"
+	"net"
+	"sync"
+	"time"
+)
+
+// Client sends requests and keeps idle connections for the next one.
+type Client struct {
+	maxIdle int
+	limit   int
+	slots   chan struct{}
+	mu      sync.Mutex
+	idle    map[string][]idleConn
+}
+
+type idleConn struct {
+	net.Conn
+	since time.Time
+}
+
+// keep is how long an idle connection is trusted.
+const keep = 20 * time.Second
+
+// NewClient bounds the open requests, the idle connections for one address and the
+// size of a response.
+func NewClient(maxOpen, maxIdle, limit int) *Client {
+	return &Client{maxIdle: maxIdle, limit: limit, slots: make(chan struct{}, maxOpen), idle: map[string][]idleConn{}}
+}
+
+// Do sends one request. An error means that no whole answer came and that nobody knows
+// whether the request was executed. A request is never sent twice.
+func (c *Client) Do(addr, method, target string, body []byte, timeout time.Duration) (*Message, error) {
+	deadline := time.Now().Add(timeout)
+	select {
+	case c.slots <- struct{}{}:
+		defer func() { <-c.slots }()
+	default:
+		return nil, fmt.Errorf("%s %s: too many open requests", method, addr)
+	}
+	conn, err := c.connect(addr, deadline)
+	if err != nil {
+		return nil, fmt.Errorf("%s %s: %w", method, addr, err)
+	}
+	msg, err := c.exchange(conn, addr, method, target, body, deadline)
+	if err != nil {
+		conn.Close()
+		return nil, fmt.Errorf("%s %s%s: %w", method, addr, target, err)
+	}
+	if msg.Close || !c.store(addr, conn) {
+		conn.Close()
+	}
+	return msg, nil
+}
+
+func (c *Client) connect(addr string, deadline time.Time) (net.Conn, error) {
+	c.mu.Lock()
+	list := c.idle[addr]
+	for len(list) > 0 {
+		last := list[len(list)-1]
+		list = list[:len(list)-1]
+		c.idle[addr] = list
+		if time.Since(last.since) < keep {
+			c.mu.Unlock()
+			return last.Conn, nil
+		}
+		last.Close()
+	}
+	delete(c.idle, addr)
+	c.mu.Unlock()
+	d := net.Dialer{Deadline: deadline}
+	return d.Dial("tcp4", addr)
+}
+
+func (c *Client) store(addr string, conn net.Conn) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.idle[addr]) >= c.maxIdle {
+		return false
+	}
+	c.idle[addr] = append(c.idle[addr], idleConn{conn, time.Now()})
+	return true
+}
+
+func (c *Client) exchange(conn net.Conn, addr, method, target string, body []byte, deadline time.Time) (*Message, error) {
+	if err := conn.SetDeadline(deadline); err != nil {
+		return nil, err
+	}
+	if _, err := conn.Write(AppendRequest(nil, method, addr, target, body)); err != nil {
+		return nil, err
+	}
+	buf := make([]byte, 0, 2048)
+	for {
+		if len(buf) == cap(buf) {
+			buf = append(buf, 0)[:len(buf)]
+		}
+		n, err := conn.Read(buf[len(buf):cap(buf)])
+		buf = buf[:len(buf)+n]
+		msg, used, perr := Parse(buf, true, c.limit)
+		if perr != nil {
+			return nil, perr
+		}
+		if msg != nil {
+			if used < len(buf) {
+				msg.Close = true
+			}
+			return msg, nil
+		}
+		if err != nil {
+			return nil, err
+		}
+	}
+}
--- /dev/null
+++ b/internal/jobs/jobs.go
@@ -0,0 +1,246 @@
+// Package jobs keeps the accepted jobs and the life of their tasks.
+package jobs
+
+import (
+	"encoding/base64"
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// State of a job as its user sees it, besides "running".
+type State int
+
+// States of a job.
+const (
+	Pending   State = iota // not durable yet
+	Accepted               // durable, unfinished
+	Done                   // durable, all tasks done
+	Cancelled              // durable, cancelled by its user
+)
+
+// Priority of a job, the higher the more urgent.
+type Priority int
+
+// Priorities.
+const (
+	Low Priority = iota
+	Normal
+	High
+	Production
+)
+
+// Spec is what the owner submitted.
+type Spec struct {
+	ID, Class, Team  string
+	Service          bool
+	Priority         Priority
+	Tasks            int
+	CPUs, Cards, Mem float64
+	Image            string
+	ImageGB          float64
+	Types            []string
+	Zone             string
+	OneZone, Spread  bool
+	Spot             bool
+	Estimate         time.Duration
+	Checkpoint, Save time.Duration
+	Deadline         time.Duration // 0: none
+}
+
+// Key names a task.
+type Key struct {
+	Job  string
+	Task int
+}
+
+func (k Key) String() string { return k.Job + "/" + strconv.Itoa(k.Task) }
+
+// ParseKey reads the name of a task.
+func ParseKey(s string) (Key, error) {
+	id, num, ok := strings.Cut(s, "/")
+	n, err := strconv.Atoi(num)
+	if !ok || err != nil || n < 0 || !ValidID(id) {
+		return Key{}, fmt.Errorf("%q is no task", s)
+	}
+	return Key{id, n}, nil
+}
+
+// ValidID reports whether an id has the form that all job ids have.
+func ValidID(id string) bool {
+	digits, ok := strings.CutPrefix(id, "job-")
+	if !ok || digits == "" || len(digits) > 32 {
+		return false
+	}
+	for i := 0; i < len(digits); i++ {
+		if digits[i] < '0' || digits[i] > '9' {
+			return false
+		}
+	}
+	return true
+}
+
+// Attempt is one try to run a task: from the moment its start is sent until its machine
+// is known not to have it any more.
+type Attempt struct {
+	Key      Key
+	Number   uint64
+	Machine  string
+	Zone     string
+	Job      *Job // nil if the job is not known
+	Assigned time.Time
+	Running  time.Time // first seen running
+	Saving   bool
+	Stopping time.Time // when a stop was last sent
+	Stray    bool      // not ours to run: to be stopped, but it holds its place until gone
+}
+
+// Job is an accepted job, or one that is about to be.
+type Job struct {
+	Spec
+	State      State
+	Submitted  time.Time
+	Guaranteed bool
+	Cancelling bool // a cancellation is on its way into the ledger; nothing starts any more
+	Finishing  bool // all tasks are done, which is on its way into the ledger
+
+	NDone     int
+	done      []uint64
+	durable   []uint64
+	unsaved   []int
+	Active    map[int]*Attempt
+	retry     []int         // tasks to be started again
+	next      int           // tasks from here on were never tried
+	RanSum    time.Duration // run time of the tasks seen from start to end
+	RanCount  int
+	BadHosts  map[string]bool
+	NotBefore time.Time // start nothing before this
+	Errors    int
+}
+
+// NewJob makes a job that is not accepted yet.
+func NewJob(s Spec, submitted time.Time) *Job {
+	words := (s.Tasks + 63) / 64
+	return &Job{Spec: s, Submitted: submitted, done: make([]uint64, words), durable: make([]uint64, words), Active: map[int]*Attempt{}}
+}
+
+func bit(set []uint64, i int) bool { return set[i/64]>>(i%64)&1 == 1 }
+func setBit(set []uint64, i int)   { set[i/64] |= 1 << (i % 64) }
+
+// IsDone reports whether a task has completed.
+func (j *Job) IsDone(task int) bool { return bit(j.done, task) }
+
+// IsDurable reports whether a task's completion is in the ledger.
+func (j *Job) IsDurable(task int) bool { return j.State == Done || bit(j.durable, task) }
+
+// TaskDone records that a task has completed; false if that was known.
+func (j *Job) TaskDone(task int) bool {
+	if bit(j.done, task) {
+		return false
+	}
+	setBit(j.done, task)
+	j.NDone++
+	j.unsaved = append(j.unsaved, task)
+	return true
+}
+
+// Waiting is the number of tasks that wait to be started.
+func (j *Job) Waiting() int { return max(j.Tasks-j.NDone-len(j.Active), 0) }
+
+// NextTask takes the next task to start, or -1.
+func (j *Job) NextTask() int {
+	for len(j.retry) > 0 {
+		t := j.retry[0]
+		j.retry = j.retry[1:]
+		if j.startable(t) {
+			return t
+		}
+	}
+	for j.next < j.Tasks {
+		t := j.next
+		j.next++
+		if j.startable(t) {
+			return t
+		}
+	}
+	return -1
+}
+
+func (j *Job) startable(t int) bool { return !bit(j.done, t) && j.Active[t] == nil }
+
+// Again puts a task back to be started.
+func (j *Job) Again(task int) {
+	if !bit(j.done, task) {
+		j.retry = append(j.retry, task)
+	}
+}
+
+// Live reports whether tasks of the job may be started.
+func (j *Job) Live() bool { return j.State == Accepted && !j.Cancelling && !j.Finishing }
+
+// Remaining is the task time still to run, by a per-task estimate.
+func (j *Job) Remaining(perTask time.Duration, now time.Time) time.Duration {
+	left := time.Duration(j.Tasks-j.NDone) * perTask
+	for _, a := range j.Active {
+		if !a.Running.IsZero() {
+			left -= min(now.Sub(a.Running), perTask*9/10)
+		}
+	}
+	return max(left, 0)
+}
+
+// Wire is the state as users see it.
+func (j *Job) Wire() string {
+	switch j.State {
+	case Done:
+		return "done"
+	case Cancelled:
+		return "cancelled"
+	}
+	if j.RunningTasks() > 0 {
+		return "running"
+	}
+	return "queued"
+}
+
+// RunningTasks counts the tasks seen running.
+func (j *Job) RunningTasks() int {
+	n := 0
+	for _, a := range j.Active {
+		if !a.Running.IsZero() {
+			n++
+		}
+	}
+	return n
+}
+
+// chunkBits is how many tasks' results one ledger entry holds.
+const chunkBits = 2048
+
+func packBits(set []uint64) string {
+	raw := make([]byte, 0, len(set)*8)
+	for _, w := range set {
+		for i := 0; i < 8; i++ {
+			raw = append(raw, byte(w>>(8*i)))
+		}
+	}
+	for len(raw) > 0 && raw[len(raw)-1] == 0 {
+		raw = raw[:len(raw)-1]
+	}
+	return base64.RawStdEncoding.EncodeToString(raw)
+}
+
+func unpackBits(s string, set []uint64) error {
+	raw, err := base64.RawStdEncoding.DecodeString(s)
+	if err != nil {
+		return fmt.Errorf("task results: %w", err)
+	}
+	if len(raw) > len(set)*8 {
+		return fmt.Errorf("task results: %d bytes for %d words", len(raw), len(set))
+	}
+	for i, b := range raw {
+		set[i/8] |= uint64(b) << (8 * (i % 8))
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/leader/leader.go
@@ -0,0 +1,485 @@
+// Package leader elects the one controller that decides. The leader holds a key on a
+// short lease of the state service; the key's mark is its token. What entitles it to
+// act is counted here, and nowhere else.
+package leader
+
+import (
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"net/url"
+	"strconv"
+	"time"
+
+	"gullrudder/internal/outbox"
+	"gullrudder/internal/packed"
+)
+
+// Key is where the leader's name is kept.
+const Key = "leader"
+
+// Peer is another controller, reached over the peer link.
+type Peer struct{ Name, Addr string }
+
+// Options of the election. Drift and Slack make every span that another host counts
+// shorter for the one that relies on it and longer for the one that promised it.
+type Options struct {
+	Name    string
+	Peers   []Peer
+	Lease   time.Duration
+	Promise time.Duration
+	Slack   time.Duration
+}
+
+type mode int
+
+const (
+	following mode = iota
+	campaigning
+	leading
+)
+
+// Election is the election as one controller sees it.
+type Election struct {
+	opt Options
+	log *slog.Logger
+	rng *rand.Rand
+
+	mode   mode
+	booted time.Time
+	since  time.Time // when the present leadership began
+	token  uint64
+	permit uint64
+
+	// as leader
+	stateUntil time.Time
+	nextTouch  time.Time
+	touching   bool
+	promises   map[string]*promise
+
+	// as follower
+	promisedUntil time.Time // we neither campaign nor act before this
+	cleared       map[string]bool
+	inquireAt     time.Time
+	reading       bool
+	readAt        time.Time
+	absent        bool // the state service told us that there is no leader
+	tide          uint64
+	campaignAt    time.Time
+	leaderName    string
+	leaderHeard   time.Time
+	epoch         int // outdates answers to calls of an earlier mode
+}
+
+type promise struct {
+	asking  bool
+	next    time.Time
+	sent    time.Time // when the request was sent whose promise we hold
+	granted bool
+}
+
+// New makes the election of a process that has just started.
+func New(opt Options, now time.Time, rng *rand.Rand, log *slog.Logger) *Election {
+	return &Election{opt: opt, log: log, rng: rng, booted: now, cleared: map[string]bool{}, promises: map[string]*promise{}}
+}
+
+// shorter is a span counted by the side that relies on it: less the drift of two
+// clocks (each up to 0.05 %) and a slack.
+func (e *Election) shorter(d time.Duration) time.Duration { return d - d/500 - e.opt.Slack }
+
+// longer is a span counted by the side that is bound by it.
+func (e *Election) longer(d time.Duration) time.Duration { return d + d/500 + e.opt.Slack }
+
+// EntitledUntil is when the right to act ends unless it is renewed before.
+func (e *Election) EntitledUntil() time.Time {
+	if e.mode != leading {
+		return time.Time{}
+	}
+	until := e.stateUntil
+	if len(e.opt.Peers) == 0 {
+		return until
+	}
+	var least time.Time
+	for _, p := range e.opt.Peers {
+		pr := e.promises[p.Name]
+		if pr == nil || !pr.granted {
+			return until
+		}
+		end := pr.sent.Add(e.shorter(e.opt.Promise))
+		if least.IsZero() || end.Before(least) {
+			least = end
+		}
+	}
+	if least.After(until) {
+		return least
+	}
+	return until
+}
+
+// Entitled reports whether this controller may act now.
+func (e *Election) Entitled(now time.Time) bool {
+	return e.mode == leading && now.Before(e.EntitledUntil())
+}
+
+// Token is the token of the present leadership.
+func (e *Election) Token() uint64 { return e.token }
+
+// Since is when the present leadership began.
+func (e *Election) Since() time.Time { return e.since }
+
+// Leader names the controller that leads, as far as is known: empty if not freshly heard of.
+func (e *Election) Leader(now time.Time) string {
+	if e.Entitled(now) {
+		return e.opt.Name
+	}
+	if e.leaderName != "" && now.Sub(e.leaderHeard) < e.opt.Promise*2/3 {
+		return e.leaderName
+	}
+	return ""
+}
+
+type leaderValue struct {
+	Name   string `msgpack:"name"`
+	Permit uint64 `msgpack:"permit"`
+}
+
+// Hello is what the leader sends to each other controller; it asks for a promise.
+type Hello struct {
+	Name  string `msgpack:"name"`
+	Token uint64 `msgpack:"token"`
+}
+
+// HelloAnswer says whether the promise is given.
+type HelloAnswer struct {
+	Promised bool `msgpack:"promised"`
+}
+
+// InquiryAnswer tells a newly started controller whether it may have been promised to.
+type InquiryAnswer struct {
+	Leading bool `msgpack:"leading"`
+}
+
+// HandleHello answers the leader's request for a promise.
+func (e *Election) HandleHello(now time.Time, h Hello) HelloAnswer {
+	if e.mode != following || e.absent {
+		// We campaign or lead, or know that the key is gone while the state service
+		// works: the sender has lost its lease and must not be carried on.
+		return HelloAnswer{}
+	}
+	e.leaderName, e.leaderHeard = h.Name, now
+	if until := now.Add(e.longer(e.opt.Promise)); until.After(e.promisedUntil) {
+		e.promisedUntil = until
+	}
+	return HelloAnswer{Promised: true}
+}
+
+// HandleInquiry answers a newly started controller.
+func (e *Election) HandleInquiry(now time.Time) InquiryAnswer {
+	return InquiryAnswer{Leading: e.Entitled(now)}
+}
+
+// Tick does what is due.
+func (e *Election) Tick(now time.Time, box *outbox.Box) {
+	if e.mode == leading && !e.Entitled(now) {
+		e.StepDown(now, box, "entitlement ended")
+	}
+	switch e.mode {
+	case leading:
+		e.touch(now, box)
+		e.askPromises(now, box)
+	case following:
+		e.follow(now, box)
+	}
+}
+
+// StepDown gives the leadership up.
+func (e *Election) StepDown(now time.Time, box *outbox.Box, why string) {
+	if e.mode != leading {
+		return
+	}
+	e.log.Info("leadership ended", "token", e.token, "why", why, "led", now.Sub(e.since).Round(time.Millisecond))
+	e.dropLease(box)
+	e.resume(now, now)
+}
+
+func (e *Election) dropLease(box *outbox.Box) {
+	if e.permit != 0 {
+		box.Add(outbox.Call{Service: outbox.State, Method: "DELETE", Path: fmt.Sprintf("/leases/%d", e.permit),
+			Timeout: time.Second, Done: func(time.Time, outbox.Result) {}})
+	}
+	e.permit = 0
+}
+
+// resume goes (back) to following; the leader key is read anew at readAt.
+func (e *Election) resume(now, readAt time.Time) {
+	e.mode = following
+	e.epoch++
+	e.touching, e.reading, e.absent = false, false, false
+	e.promises = map[string]*promise{}
+	e.readAt = readAt
+}
+
+func (e *Election) touch(now time.Time, box *outbox.Box) {
+	if e.touching || now.Before(e.nextTouch) {
+		return
+	}
+	e.touching = true
+	epoch, sent := e.epoch, now
+	box.Add(outbox.Call{Service: outbox.State, Method: "POST", Path: fmt.Sprintf("/leases/%d/touch", e.permit),
+		Timeout: e.opt.Lease / 3,
+		Done: func(now time.Time, r outbox.Result) {
+			if e.epoch != epoch {
+				return
+			}
+			e.touching = false
+			switch r.Status {
+			case 200:
+				e.stateUntil = sent.Add(e.shorter(e.opt.Lease))
+				e.nextTouch = sent.Add(e.opt.Lease / 4)
+			case 404:
+				e.permit = 0
+				e.StepDown(now, box, "the state service ended the lease")
+			default:
+				e.nextTouch = now.Add(e.opt.Lease / 12)
+			}
+		}})
+}
+
+func (e *Election) askPromises(now time.Time, box *outbox.Box) {
+	for _, p := range e.opt.Peers {
+		pr := e.promises[p.Name]
+		if pr == nil {
+			pr = &promise{}
+			e.promises[p.Name] = pr
+		}
+		if pr.asking || now.Before(pr.next) {
+			continue
+		}
+		pr.asking = true
+		epoch, sent := e.epoch, now
+		box.Add(outbox.Call{Service: outbox.Peer, Addr: p.Addr, Method: "POST", Path: "/peer/hello",
+			Body: Hello{Name: e.opt.Name, Token: e.token}, Timeout: e.opt.Promise / 3,
+			Done: func(now time.Time, r outbox.Result) {
+				if e.epoch != epoch {
+					return
+				}
+				pr.asking = false
+				pr.next = sent.Add(e.opt.Promise / 5)
+				var a HelloAnswer
+				if r.Status != 200 || packed.Unmarshal(r.Body, &a) != nil {
+					// A peer that does not answer may still be bound by its last
+					// promise, and we by its end.
+					return
+				}
+				if a.Promised {
+					pr.sent, pr.granted = sent, true
+				}
+			}})
+	}
+}
+
+func (e *Election) follow(now time.Time, box *outbox.Box) {
+	e.inquire(now, box)
+	if !e.reading && !now.Before(e.readAt) {
+		e.read(now, box)
+	}
+	if e.absent && !e.bound(now) && !now.Before(e.campaignAt) {
+		e.campaign(now, box)
+	}
+}
+
+// bound reports whether a promise forbids to campaign: one that we gave, or one that an
+// earlier process of this controller may have given shortly before we started.
+func (e *Election) bound(now time.Time) bool {
+	if now.Before(e.promisedUntil) {
+		return true
+	}
+	return !e.unboundByPeers() && now.Before(e.booted.Add(e.longer(e.opt.Promise)))
+}
+
+// unboundByPeers: every other controller has told this process that it does not lead,
+// so nobody relies on what an earlier process promised.
+func (e *Election) unboundByPeers() bool { return len(e.cleared) == len(e.opt.Peers) }
+
+func (e *Election) inquire(now time.Time, box *outbox.Box) {
+	if e.unboundByPeers() || now.Before(e.inquireAt) || !now.Before(e.booted.Add(e.longer(e.opt.Promise))) {
+		return
+	}
+	e.inquireAt = now.Add(e.opt.Promise / 10)
+	for _, p := range e.opt.Peers {
+		if e.cleared[p.Name] {
+			continue
+		}
+		box.Add(outbox.Call{Service: outbox.Peer, Addr: p.Addr, Method: "POST", Path: "/peer/inquiry",
+			Timeout: e.opt.Promise / 3,
+			Done: func(_ time.Time, r outbox.Result) {
+				var a InquiryAnswer
+				if r.Status == 200 && packed.Unmarshal(r.Body, &a) == nil && !a.Leading {
+					e.cleared[p.Name] = true
+				}
+			}})
+	}
+}
+
+func (e *Election) read(now time.Time, box *outbox.Box) {
+	e.reading = true
+	epoch := e.epoch
+	box.Add(outbox.Call{Service: outbox.State, Method: "GET", Path: "/keys/" + Key, Timeout: time.Second,
+		Done: func(now time.Time, r outbox.Result) {
+			if e.epoch != epoch {
+				return
+			}
+			e.reading = false
+			var a struct {
+				Value leaderValue `msgpack:"value"`
+				Mark  uint64      `msgpack:"mark"`
+				Tide  uint64      `msgpack:"tide"`
+			}
+			switch {
+			case r.Status == 200 && packed.Unmarshal(r.Body, &a) == nil:
+				e.absent, e.tide = false, a.Mark
+				e.watch(now, box)
+			case r.Status == 404 && packed.Unmarshal(r.Body, &a) == nil:
+				e.vanished(now)
+				e.readAt = now.Add(e.opt.Lease / 6)
+			default:
+				e.absent = false
+				e.readAt = now.Add(e.opt.Lease / 8)
+			}
+		}})
+}
+
+func (e *Election) vanished(now time.Time) {
+	if !e.absent {
+		e.absent = true
+		e.campaignAt = now.Add(time.Duration(e.rng.Int64N(int64(60 * time.Millisecond))))
+	}
+}
+
+func (e *Election) watch(now time.Time, box *outbox.Box) {
+	e.reading = true
+	epoch := e.epoch
+	wait := e.opt.Lease * 2
+	q := url.Values{"starts": {Key}, "from": {strconv.FormatUint(e.tide, 10)}, "wait_ms": {strconv.FormatInt(wait.Milliseconds(), 10)}}
+	box.Add(outbox.Call{Service: outbox.State, Method: "GET", Path: "/watch?" + q.Encode(), Timeout: wait + time.Second,
+		Done: func(now time.Time, r outbox.Result) {
+			if e.epoch != epoch {
+				return
+			}
+			e.reading = false
+			var a struct {
+				Tide uint64 `msgpack:"tide"`
+				Log  []struct {
+					Write string `msgpack:"write"`
+					Drop  string `msgpack:"drop"`
+				} `msgpack:"log"`
+			}
+			if r.Status != 200 || packed.Unmarshal(r.Body, &a) != nil {
+				e.readAt = now.Add(e.opt.Lease / 8)
+				return
+			}
+			gone := false
+			for _, l := range a.Log {
+				if l.Drop == Key {
+					gone = true
+				}
+				if l.Write == Key {
+					gone = false
+				}
+			}
+			if gone {
+				e.vanished(now)
+				e.readAt = now.Add(e.opt.Lease / 6)
+				return
+			}
+			e.tide = a.Tide
+			e.watch(now, box)
+		}})
+}
+
+func (e *Election) campaign(now time.Time, box *outbox.Box) {
+	e.mode = campaigning
+	e.epoch++
+	e.reading = false
+	epoch, sent := e.epoch, now
+	box.Add(outbox.Call{Service: outbox.State, Method: "POST", Path: "/leases", Timeout: time.Second,
+		Body: map[string]any{"ttl_ms": e.opt.Lease.Milliseconds()},
+		Done: func(now time.Time, r outbox.Result) {
+			if e.epoch != epoch {
+				return
+			}
+			var a struct {
+				Permit uint64 `msgpack:"permit"`
+			}
+			if r.Status != 200 || packed.Unmarshal(r.Body, &a) != nil || a.Permit == 0 {
+				e.resume(now, now.Add(e.opt.Lease/8))
+				return
+			}
+			e.permit = a.Permit
+			e.claim(now, box, sent)
+		}})
+}
+
+func (e *Election) claim(now time.Time, box *outbox.Box, leased time.Time) {
+	epoch := e.epoch
+	box.Add(outbox.Call{Service: outbox.State, Method: "POST", Path: "/commit", Timeout: time.Second,
+		Body: map[string]any{
+			"guards": []any{map[string]any{"path": Key, "mark": 0}},
+			"apply":  []any{map[string]any{"write": Key, "value": leaderValue{e.opt.Name, e.permit}, "permit": e.permit}},
+		},
+		Done: func(now time.Time, r outbox.Result) {
+			if e.epoch != epoch {
+				return
+			}
+			var a struct {
+				Tide uint64 `msgpack:"tide"`
+			}
+			switch {
+			case r.Status == 200 && packed.Unmarshal(r.Body, &a) == nil && a.Tide > 0:
+				e.won(now, box, a.Tide, leased)
+			case r.Unknown():
+				e.readClaim(now, box, leased)
+			default:
+				e.dropLease(box)
+				e.resume(now, now.Add(e.opt.Lease/30))
+			}
+		}})
+}
+
+// readClaim: no answer came to our claim. If the key is not ours now, our lease is
+// ended, so that a claim that is executed later is refused.
+func (e *Election) readClaim(now time.Time, box *outbox.Box, leased time.Time) {
+	epoch := e.epoch
+	box.Add(outbox.Call{Service: outbox.State, Method: "GET", Path: "/keys/" + Key, Timeout: time.Second,
+		Done: func(now time.Time, r outbox.Result) {
+			if e.epoch != epoch {
+				return
+			}
+			var a struct {
+				Value leaderValue `msgpack:"value"`
+				Mark  uint64      `msgpack:"mark"`
+			}
+			if r.Status == 200 && packed.Unmarshal(r.Body, &a) == nil && a.Value.Name == e.opt.Name && a.Value.Permit == e.permit {
+				e.won(now, box, a.Mark, leased)
+				return
+			}
+			e.dropLease(box)
+			e.resume(now, now.Add(e.opt.Lease/8))
+		}})
+}
+
+func (e *Election) won(now time.Time, box *outbox.Box, token uint64, leased time.Time) {
+	until := leased.Add(e.shorter(e.opt.Lease))
+	if e.bound(now) || !now.Before(until) {
+		e.dropLease(box)
+		e.resume(now, now.Add(e.opt.Lease/8))
+		return
+	}
+	e.mode = leading
+	e.epoch++
+	e.absent, e.touching = false, false
+	e.token, e.since, e.stateUntil = token, now, until
+	e.nextTouch = leased.Add(e.opt.Lease / 4)
+	e.promises = map[string]*promise{}
+	e.log.Info("leadership won", "token", token)
+}
--- /dev/null
+++ b/internal/ledger/ledger.go
@@ -0,0 +1,438 @@
+// Package ledger keeps what has to outlive every process in the state service. Entries
+// are packed many to a page, a page is one key, and changed pages go out in group
+// commits. Every commit guards the leader's key and the mark of every page it writes,
+// so that one that is executed late or twice changes nothing.
+package ledger
+
+import (
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"net/url"
+	"sort"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"gullrudder/internal/outbox"
+	"gullrudder/internal/packed"
+)
+
+// Prefix is where the pages are.
+const Prefix = "page/"
+
+// Options of a ledger.
+type Options struct {
+	LeaderKey  string
+	ValueBytes int
+	TxnOps     int
+	WriteRate  float64
+	Quiet      time.Duration // how long a change that nobody waits for may be gathered
+}
+
+const (
+	pageFrame  = 64       // JSON bytes of a page besides its entries
+	entryFrame = 8        // JSON bytes of an entry besides its name and value
+	txnBytes   = 56 << 10 // JSON bytes of the pages of one transaction
+)
+
+type entry struct {
+	raw     msgpack.RawMessage
+	size    int // JSON bytes of name and value, or the room reserved if that is more
+	encoded int
+	page    *page
+}
+
+type page struct {
+	key     string
+	mark    uint64
+	entries map[string]*entry
+	size    int
+	dirty   bool
+	urgent  bool
+	since   time.Time // when the oldest unsaved change was made
+	waiters []func(time.Time, bool)
+}
+
+type txn struct {
+	seq     uint64
+	pages   []*page
+	waiters [][]func(time.Time, bool)
+}
+
+// Ledger is the leader's copy of the pages and what still has to be written.
+type Ledger struct {
+	opt     Options
+	log     *slog.Logger
+	token   uint64
+	pages   map[string]*page
+	entries map[string]*entry
+	next    int
+	seq     uint64
+	limit   *outbox.Limiter
+	flight  *txn
+	loaded  bool
+	lost    bool // another leader has written: this one has to step down
+	pauseTo time.Time
+	failing time.Time // since when commits have been failing
+	delay   time.Duration
+	epoch   *int
+}
+
+// New makes the ledger of a new leadership. Load has to come first.
+func New(opt Options, token uint64, log *slog.Logger) *Ledger {
+	return &Ledger{opt: opt, log: log, token: token, pages: map[string]*page{}, entries: map[string]*entry{},
+		limit: outbox.NewLimiter(opt.WriteRate * 0.92), epoch: new(int)}
+}
+
+// Close makes answers that are still to come harmless.
+func (l *Ledger) Close() { *l.epoch = 1 }
+
+// Loaded reports whether all pages have been read.
+func (l *Ledger) Loaded() bool { return l.loaded }
+
+// Lost reports that somebody else has written, so that this leadership is over.
+func (l *Ledger) Lost() bool { return l.lost }
+
+// Healthy is false while commits do not get through.
+func (l *Ledger) Healthy() bool { return l.failing.IsZero() }
+
+type pageValue struct {
+	Seq     uint64                        `msgpack:"n"`
+	Entries map[string]msgpack.RawMessage `msgpack:"e"`
+}
+
+// Load reads all pages.
+func (l *Ledger) Load(box *outbox.Box) { l.load(box, "", 0) }
+
+func (l *Ledger) load(box *outbox.Box, from string, after time.Duration) {
+	q := url.Values{"starts": {Prefix}, "most": {"60"}}
+	if from != "" {
+		q.Set("from", from)
+	}
+	l.call(box, outbox.Call{Method: "GET", Path: "/keys?" + q.Encode(), After: after, Timeout: 2 * time.Second,
+		Done: func(now time.Time, r outbox.Result) {
+			var a struct {
+				Entries []struct {
+					Path  string    `msgpack:"path"`
+					Value pageValue `msgpack:"value"`
+					Mark  uint64    `msgpack:"mark"`
+				} `msgpack:"entries"`
+				More bool `msgpack:"has_next"`
+			}
+			if r.Status != 200 {
+				l.load(box, from, 200*time.Millisecond)
+				return
+			}
+			if err := packed.Unmarshal(r.Body, &a); err != nil {
+				l.log.Error("a ledger page cannot be read", "error", err)
+				l.load(box, from, time.Second)
+				return
+			}
+			for _, e := range a.Entries {
+				l.install(e.Path, e.Mark, e.Value)
+				from = e.Path
+			}
+			if a.More && len(a.Entries) > 0 {
+				l.load(box, from, 0)
+				return
+			}
+			l.loaded = true
+		}})
+}
+
+func (l *Ledger) install(key string, mark uint64, v pageValue) {
+	p := &page{key: key, mark: mark, entries: map[string]*entry{}, size: pageFrame}
+	l.pages[key] = p
+	var n int
+	if _, err := fmt.Sscanf(key, Prefix+"%d", &n); err == nil && n >= l.next {
+		l.next = n + 1
+	}
+	for name, raw := range v.Entries {
+		var plain any
+		size := len(raw) * 3
+		if msgpack.Unmarshal(raw, &plain) == nil {
+			if text, err := json.Marshal(plain); err == nil {
+				size = len(text)
+			}
+		}
+		e := &entry{raw: raw, size: size + len(name) + entryFrame, page: p}
+		e.encoded = e.size
+		p.entries[name] = e
+		p.size += e.size
+		l.entries[name] = e
+	}
+	l.seq = max(l.seq, v.Seq)
+}
+
+// call sends a state call whose answer is dropped once the leadership is over.
+func (l *Ledger) call(box *outbox.Box, c outbox.Call) {
+	done, epoch := c.Done, l.epoch
+	c.Service = outbox.State
+	c.Done = func(now time.Time, r outbox.Result) {
+		if *epoch == 0 {
+			done(now, r)
+		}
+	}
+	box.Add(c)
+}
+
+// Each calls f with every entry.
+func (l *Ledger) Each(f func(name string, decode func(any) error)) {
+	names := make([]string, 0, len(l.entries))
+	for name := range l.entries {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	for _, name := range names {
+		e := l.entries[name]
+		f(name, func(v any) error { return msgpack.Unmarshal(e.raw, v) })
+	}
+}
+
+// Set changes an entry. reserve is the most JSON bytes its value may come to need while
+// it lives; the entry never leaves its page. then, if given, is called with true once
+// the change is durable, or with false if that has become doubtful; in that case the
+// change stays and goes on to be written.
+func (l *Ledger) Set(now time.Time, name string, v any, reserve int, urgent bool, then func(now time.Time, ok bool)) error {
+	raw, err := packed.Marshal(v)
+	if err != nil {
+		return fmt.Errorf("entry %s: %w", name, err)
+	}
+	text, err := json.Marshal(v)
+	if err != nil {
+		return fmt.Errorf("entry %s: %w", name, err)
+	}
+	encoded := len(text) + len(name) + entryFrame
+	size := max(encoded, reserve+len(name)+entryFrame)
+	e := l.entries[name]
+	if e == nil {
+		p := l.room(size)
+		if p == nil {
+			return fmt.Errorf("entry %s: %d bytes are more than a page holds", name, size)
+		}
+		e = &entry{page: p}
+		l.entries[name] = e
+		p.entries[name] = e
+	}
+	e.page.size += size - e.size
+	e.raw, e.size, e.encoded = raw, size, encoded
+	l.touch(now, e.page, urgent, then)
+	return nil
+}
+
+// Drop removes an entry.
+func (l *Ledger) Drop(now time.Time, name string) {
+	e := l.entries[name]
+	if e == nil {
+		return
+	}
+	delete(l.entries, name)
+	delete(e.page.entries, name)
+	e.page.size -= e.size
+	l.touch(now, e.page, false, nil)
+}
+
+func (l *Ledger) touch(now time.Time, p *page, urgent bool, then func(time.Time, bool)) {
+	if !p.dirty {
+		p.dirty, p.since, p.urgent = true, now, false
+	}
+	p.urgent = p.urgent || urgent
+	if then != nil {
+		p.waiters = append(p.waiters, then)
+	}
+}
+
+// room finds a page for a new entry: a page that is to be written anyway if there is
+// one, else the fullest that has room, else a new one.
+func (l *Ledger) room(size int) *page {
+	if size+pageFrame > l.opt.ValueBytes {
+		return nil
+	}
+	var best *page
+	better := func(a, b *page) bool {
+		if (a.dirty && a.urgent) != (b.dirty && b.urgent) {
+			return a.dirty && a.urgent
+		}
+		if a.dirty != b.dirty {
+			return a.dirty
+		}
+		if a.size != b.size {
+			return a.size > b.size
+		}
+		return a.key < b.key
+	}
+	for _, p := range l.pages {
+		if p.size+size <= l.opt.ValueBytes && (best == nil || better(p, best)) {
+			best = p
+		}
+	}
+	if best == nil {
+		best = &page{key: fmt.Sprintf("%s%06d", Prefix, l.next), entries: map[string]*entry{}, size: pageFrame}
+		l.next++
+		l.pages[best.key] = best
+	}
+	return best
+}
+
+// Flush sends the next commit if one is due.
+func (l *Ledger) Flush(now time.Time, box *outbox.Box) {
+	if !l.loaded || l.lost || l.flight != nil || now.Before(l.pauseTo) {
+		return
+	}
+	var due []*page
+	anyUrgent := false
+	for _, p := range l.pages {
+		if p.dirty {
+			due = append(due, p)
+			anyUrgent = anyUrgent || p.urgent
+		}
+	}
+	if len(due) == 0 {
+		return
+	}
+	sort.Slice(due, func(i, j int) bool {
+		if due[i].urgent != due[j].urgent {
+			return due[i].urgent
+		}
+		if !due[i].since.Equal(due[j].since) {
+			return due[i].since.Before(due[j].since)
+		}
+		return due[i].key < due[j].key
+	})
+	budget := l.limit.Available(now)
+	var chosen []*page
+	bytes := 0
+	for _, p := range due {
+		// What nobody waits for leaves half of the budget to what somebody does.
+		if !p.urgent && (now.Sub(p.since) < l.opt.Quiet || float64(budget-len(chosen)) < l.opt.WriteRate/2) {
+			continue
+		}
+		if len(chosen) >= min(budget, l.opt.TxnOps) || len(chosen) > 0 && bytes+p.size > txnBytes {
+			break
+		}
+		chosen = append(chosen, p)
+		bytes += p.size
+	}
+	if len(chosen) == 0 {
+		return
+	}
+	l.limit.Take(len(chosen))
+	l.commit(now, box, chosen)
+}
+
+func (l *Ledger) commit(now time.Time, box *outbox.Box, pages []*page) {
+	l.seq++
+	t := &txn{seq: l.seq, pages: pages}
+	guards := []any{map[string]any{"path": l.opt.LeaderKey, "mark": l.token}}
+	var apply []any
+	for _, p := range pages {
+		guards = append(guards, map[string]any{"path": p.key, "mark": p.mark})
+		v := pageValue{Seq: t.seq, Entries: make(map[string]msgpack.RawMessage, len(p.entries))}
+		for name, e := range p.entries {
+			v.Entries[name] = e.raw
+		}
+		apply = append(apply, map[string]any{"write": p.key, "value": v})
+		t.waiters = append(t.waiters, p.waiters)
+		p.dirty, p.urgent, p.waiters = false, false, nil
+	}
+	l.flight = t
+	l.call(box, outbox.Call{Method: "POST", Path: "/commit", Timeout: 1500 * time.Millisecond,
+		Body: map[string]any{"guards": guards, "apply": apply},
+		Done: func(now time.Time, r outbox.Result) {
+			var a struct {
+				Tide uint64 `msgpack:"tide"`
+			}
+			switch {
+			case r.Status == 200 && packed.Unmarshal(r.Body, &a) == nil && a.Tide > 0:
+				l.committed(now, a.Tide)
+			case r.Unknown() || r.Status == 200:
+				l.doubt(now)
+				l.readBack(now, box, 0, 0)
+			case r.Status == 409:
+				l.log.Error("a commit was refused by its guards", "token", l.token, "pages", len(t.pages))
+				l.lost = true
+			default:
+				l.log.Info("a commit was not executed", "status", r.Status)
+				l.again(now, r.RetryAfter)
+			}
+		}})
+}
+
+func (l *Ledger) committed(now time.Time, mark uint64) {
+	t := l.flight
+	l.flight = nil
+	l.failing, l.delay = time.Time{}, 0
+	for _, p := range t.pages {
+		p.mark = mark
+	}
+	for _, ws := range t.waiters {
+		for _, w := range ws {
+			w(now, true)
+		}
+	}
+}
+
+// doubt tells the waiters that their change is not certain yet.
+func (l *Ledger) doubt(now time.Time) {
+	if l.failing.IsZero() {
+		l.failing = now
+	}
+	for _, ws := range l.flight.waiters {
+		for _, w := range ws {
+			w(now, false)
+		}
+	}
+}
+
+// again puts the pages of the commit back.
+func (l *Ledger) again(now time.Time, after time.Duration) {
+	l.doubt(now)
+	t := l.flight
+	l.flight = nil
+	l.delay = min(max(2*l.delay, 100*time.Millisecond), time.Second)
+	l.pauseTo = now.Add(min(max(l.delay, after), 2*time.Second))
+	for i, p := range t.pages {
+		p.waiters = append(t.waiters[i], p.waiters...)
+		if !p.dirty {
+			p.dirty, p.since = true, now
+		}
+		p.urgent = true
+	}
+}
+
+// readBack finds out what became of a commit that nobody answered. Each attempt has a
+// number of its own, since an earlier one that was held up on the way guards the same
+// marks and may be the one that was executed. mark is the revision at which the attempt
+// was found to be executed: it may be executed between the reading of two pages, so one
+// page that shows it speaks for all.
+func (l *Ledger) readBack(now time.Time, box *outbox.Box, i int, after time.Duration) {
+	t := l.flight
+	p := t.pages[i]
+	l.call(box, outbox.Call{Method: "GET", Path: "/keys/" + p.key, After: after, Timeout: time.Second,
+		Done: func(now time.Time, r outbox.Result) {
+			var a struct {
+				Value pageValue `msgpack:"value"`
+				Mark  uint64    `msgpack:"mark"`
+			}
+			switch {
+			case r.Status == 200 && packed.Unmarshal(r.Body, &a) == nil:
+				p.mark = a.Mark
+				if a.Value.Seq == t.seq {
+					l.committed(now, a.Mark)
+					return
+				}
+			case r.Status == 404:
+				p.mark = 0
+			default:
+				l.delay = min(max(2*l.delay, 100*time.Millisecond), time.Second)
+				l.readBack(now, box, i, l.delay)
+				return
+			}
+			if i+1 < len(t.pages) {
+				l.readBack(now, box, i+1, 0)
+				return
+			}
+			l.again(now, 0)
+		}})
+}
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,287 @@
+// Package node is the owner of all state of a controller. It works through commands in
+// batches: Step takes the time and what has come in, and gives back the answers and the
+// calls to make. It reads no clock and does no I/O.
+package node
+
+import (
+	"log/slog"
+	"math/rand/v2"
+	"strings"
+	"time"
+
+	"gullrudder/internal/config"
+	"gullrudder/internal/fleet"
+	"gullrudder/internal/jobs"
+	"gullrudder/internal/leader"
+	"gullrudder/internal/ledger"
+	"gullrudder/internal/outbox"
+	"gullrudder/internal/packed"
+	"gullrudder/internal/plan"
+	"gullrudder/internal/workers"
+)
+
+// Request is a request that came in. Ref is the runtime's own.
+type Request struct {
+	Ref    any
+	Peer   bool
+	Method string
+	Target string
+	Body   []byte
+}
+
+// Reply answers a request.
+type Reply struct {
+	Ref    any
+	Status int
+	Body   []byte
+	Retry  time.Duration
+}
+
+// Outcome is what came of a call.
+type Outcome struct {
+	Call   outbox.Call
+	Result outbox.Result
+}
+
+// Command is one of Request, Outcome; nothing else comes into the owner's queue.
+type Command struct {
+	Request *Request
+	Outcome *Outcome
+}
+
+// Effects are what a step wants done.
+type Effects struct {
+	Replies []Reply
+	Calls   []outbox.Call
+}
+
+// Node is the state of a controller.
+type Node struct {
+	cfg *config.Platform
+	opt config.Options
+	log *slog.Logger
+
+	teams    map[string]config.Team
+	peers    map[string]string
+	election *leader.Election
+	met      bool // a leader has been heard of, or this is one
+	lead     *leadership
+	box      outbox.Box
+	replies  []Reply
+	nextTick time.Time
+	watch    *latencies
+}
+
+// leadership is everything that ends with the entitlement.
+type leadership struct {
+	token    uint64
+	counter  uint64
+	since    time.Time
+	ledger   *ledger.Ledger
+	jobs     map[string]*jobs.Job
+	finals   map[string]final
+	fleet    *workers.Fleet
+	cloud    *fleet.Cloud
+	planner  *plan.Planner
+	built    bool // the ledger has been taken over
+	placing  bool // every machine that may hold tasks is accounted for
+	order    []plan.Entry
+	ordered  time.Time
+	stale    bool
+	holds    map[string]*jobs.Job // machine -> job that its free room is held for
+	nextSize time.Time
+	nextSave time.Time
+	reports  []pendingReport
+	probes   map[string]time.Time
+	pending  int // submissions that are not durable yet
+}
+
+type final struct {
+	done  bool
+	tasks int
+}
+
+type pendingReport struct {
+	req   *Request
+	m     *workers.Machine
+	rep   *workers.Report
+	fresh bool // newer than all before, and made under our token
+}
+
+// tickEvery is how often the owner looks at what is due.
+const tickEvery = 50 * time.Millisecond
+
+// margin is added to every span after which something is taken for gone.
+const margin = 500 * time.Millisecond
+
+// New makes the state of a process that has just started.
+func New(cfg *config.Platform, opt config.Options, now time.Time, rng *rand.Rand, log *slog.Logger) *Node {
+	n := &Node{cfg: cfg, opt: opt, log: log, teams: map[string]config.Team{}, peers: map[string]string{}, watch: newLatencies()}
+	var peers []leader.Peer
+	for _, p := range cfg.Peers {
+		peers = append(peers, leader.Peer{Name: p.Name, Addr: p.Addr})
+		n.peers[p.Name] = p.Addr
+	}
+	for _, t := range cfg.Teams {
+		n.teams[t.Name] = t
+	}
+	n.election = leader.New(leader.Options{Name: cfg.Name, Peers: peers, Lease: opt.LeaderLease,
+		Promise: opt.Promise, Slack: 100 * time.Millisecond}, now, rng, log)
+	return n
+}
+
+// Step works through a batch of commands.
+func (n *Node) Step(now time.Time, commands []Command) Effects {
+	n.turn(now)
+	for _, c := range commands {
+		if c.Outcome != nil {
+			c.Outcome.Call.Done(now, c.Outcome.Result)
+			n.turn(now)
+		}
+	}
+	for _, c := range commands {
+		if c.Request != nil {
+			n.request(now, c.Request)
+		}
+	}
+	if !now.Before(n.nextTick) {
+		n.nextTick = now.Add(tickEvery)
+		n.election.Tick(now, &n.box)
+		n.turn(now)
+		if n.lead != nil {
+			n.tick(now)
+		}
+	}
+	if l := n.lead; l != nil {
+		n.answerReports(now)
+		l.ledger.Flush(now, &n.box)
+	}
+	e := Effects{Replies: n.replies, Calls: n.box.Take()}
+	n.replies = nil
+	return e
+}
+
+// turn makes the leadership's state follow the election.
+func (n *Node) turn(now time.Time) {
+	if n.lead != nil && n.lead.ledger.Lost() {
+		n.election.StepDown(now, &n.box, "another leader has written")
+	}
+	entitled := n.election.Entitled(now)
+	if n.lead != nil && (!entitled || n.lead.token != n.election.Token()) {
+		n.resign()
+	}
+	if n.lead == nil && entitled {
+		n.takeOver(now)
+	}
+}
+
+// resign drops everything that belonged to the leadership. Whoever still waits is told
+// to come back.
+func (n *Node) resign() {
+	l := n.lead
+	n.lead = nil
+	l.ledger.Close()
+	l.cloud.Close()
+	for _, p := range l.reports {
+		n.reply(p.req, 503, nil, 0)
+	}
+}
+
+func (n *Node) reply(r *Request, status int, body any, retry time.Duration) {
+	var raw []byte
+	if body != nil {
+		var err error
+		if raw, err = packed.Marshal(body); err != nil {
+			n.log.Error("an answer cannot be encoded", "error", err)
+			status, raw = 503, nil
+		}
+	}
+	n.replies = append(n.replies, Reply{r.Ref, status, raw, retry})
+}
+
+func (n *Node) refuse(r *Request, status int, reason string, retry time.Duration) {
+	n.reply(r, status, map[string]string{"error": reason}, retry)
+}
+
+// request routes what came in.
+func (n *Node) request(now time.Time, r *Request) {
+	path, _, _ := strings.Cut(r.Target, "?")
+	parts := strings.Split(strings.TrimPrefix(path, "/"), "/")
+	switch {
+	case path == "/ready":
+		n.only(r, "GET", func() { n.ready(now, r) })
+	case path == "/status":
+		n.only(r, "GET", func() { n.status(now, r) })
+	case path == "/v1/report" && !r.Peer:
+		n.only(r, "POST", func() { n.report(now, r) })
+	case path == "/work":
+		n.only(r, "POST", func() { n.user(now, r, n.submit) })
+	case parts[0] == "work" && len(parts) == 2:
+		n.only(r, "GET", func() { n.user(now, r, func(now time.Time, r *Request) { n.query(now, r, parts[1]) }) })
+	case parts[0] == "work" && len(parts) == 3 && parts[2] == "withdraw":
+		n.only(r, "POST", func() { n.user(now, r, func(now time.Time, r *Request) { n.withdraw(now, r, parts[1]) }) })
+	case path == "/peer/hello" && r.Peer:
+		n.only(r, "POST", func() { n.hello(now, r) })
+	case path == "/peer/inquiry" && r.Peer:
+		n.only(r, "POST", func() { n.reply(r, 200, n.election.HandleInquiry(now), 0) })
+	default:
+		n.refuse(r, 404, "no such path", 0)
+	}
+}
+
+func (n *Node) only(r *Request, method string, f func()) {
+	if r.Method != method {
+		n.refuse(r, 405, "wrong method", 0)
+		return
+	}
+	f()
+}
+
+func (n *Node) hello(now time.Time, r *Request) {
+	var h leader.Hello
+	if err := packed.Unmarshal(r.Body, &h); err != nil || n.peers[h.Name] == "" {
+		n.refuse(r, 400, "no greeting of a known controller", 0)
+		return
+	}
+	n.met = true
+	n.reply(r, 200, n.election.HandleHello(now, h), 0)
+}
+
+func (n *Node) ready(now time.Time, r *Request) {
+	if n.lead != nil {
+		n.met = true
+	}
+	if !n.met {
+		n.refuse(r, 503, "no leader known yet", 0)
+		return
+	}
+	n.reply(r, 200, map[string]bool{"ready": true}, 0)
+}
+
+// tick does the leader's regular work.
+func (n *Node) tick(now time.Time) {
+	l := n.lead
+	l.cloud.Tick(now, &n.box)
+	if !l.built {
+		if l.ledger.Loaded() {
+			n.build(now)
+		}
+		return
+	}
+	n.takeGone(now)
+	n.expire(now)
+	if !l.placing {
+		n.account(now)
+	}
+	if now.Sub(l.ordered) > 500*time.Millisecond {
+		l.stale = true
+	}
+	if !now.Before(l.nextSave) {
+		l.nextSave = now.Add(250 * time.Millisecond)
+		n.save(now)
+	}
+	if l.placing && !now.Before(l.nextSize) {
+		l.nextSize = now.Add(time.Second)
+		n.size(now)
+	}
+}
--- /dev/null
+++ b/internal/node/run.go
@@ -0,0 +1,130 @@
+package node
+
+import (
+	"log/slog"
+	"runtime/debug"
+	"strings"
+	"time"
+
+	"gullrudder/internal/config"
+	"gullrudder/internal/httpwire"
+	"gullrudder/internal/outbox"
+	"gullrudder/internal/packed"
+)
+
+const (
+	queueLength = 4096
+	batch       = 256
+)
+
+type arrived struct {
+	*httpwire.Request
+	at time.Time
+}
+
+// Runtime connects a node with the clock and the network.
+type Runtime struct {
+	node   *Node
+	cfg    *config.Platform
+	log    *slog.Logger
+	queue  chan Command
+	client *httpwire.Client
+}
+
+// NewRuntime makes the runtime of a node.
+func NewRuntime(n *Node, cfg *config.Platform, log *slog.Logger) *Runtime {
+	outgoing := max(cfg.Connections/6, 8)
+	return &Runtime{node: n, cfg: cfg, log: log, queue: make(chan Command, queueLength),
+		client: httpwire.NewClient(outgoing, 4, 16<<20)}
+}
+
+// Serve runs the node for ever.
+func (rt *Runtime) Serve() {
+	// Half of the memory that is ours is left to what the collector does not count.
+	debug.SetMemoryLimit(int64(rt.cfg.MemoryMB * 0.6 * (1 << 20)))
+	go rt.listen()
+	ticker := time.NewTicker(tickEvery)
+	defer ticker.Stop()
+	commands := make([]Command, 0, batch)
+	for {
+		commands = commands[:0]
+		select {
+		case c := <-rt.queue:
+			commands = append(commands, c)
+		case <-ticker.C:
+		}
+	more:
+		for len(commands) < batch {
+			select {
+			case c := <-rt.queue:
+				commands = append(commands, c)
+			default:
+				break more
+			}
+		}
+		rt.carryOut(rt.node.Step(time.Now(), commands))
+	}
+}
+
+func (rt *Runtime) listen() {
+	server := httpwire.NewServer(httpwire.ServerOptions{Public: rt.cfg.Public, Peer: rt.cfg.PeerBind,
+		MaxConns: max(rt.cfg.Connections*3/4, 8), Idle: 75 * time.Second, Slow: 10 * time.Second,
+		Handle: rt.handle, Log: rt.log})
+	for {
+		err := server.Run()
+		rt.log.Error("the server stopped and is started again", "error", err)
+		time.Sleep(500 * time.Millisecond)
+	}
+}
+
+func (rt *Runtime) handle(r *httpwire.Request) {
+	select {
+	case rt.queue <- Command{Request: &Request{Ref: arrived{r, time.Now()}, Peer: r.Peer, Method: r.Method, Target: r.Target, Body: r.Body}}:
+	default:
+		r.Reply(503, nil, time.Second)
+	}
+}
+
+func (rt *Runtime) carryOut(e Effects) {
+	for _, r := range e.Replies {
+		if a, ok := r.Ref.(arrived); ok {
+			a.Reply(r.Status, r.Body, r.Retry)
+			kind, _, _ := strings.Cut(strings.TrimPrefix(a.Target, "/"), "/")
+			rt.node.Took(a.Method+" "+kind, time.Since(a.at))
+		}
+	}
+	for _, c := range e.Calls {
+		go rt.call(c)
+	}
+}
+
+func (rt *Runtime) call(c outbox.Call) {
+	if c.After > 0 {
+		time.Sleep(c.After)
+	}
+	rt.queue <- Command{Outcome: &Outcome{Call: c, Result: rt.exchange(c)}}
+}
+
+func (rt *Runtime) exchange(c outbox.Call) outbox.Result {
+	addr := c.Addr
+	switch c.Service {
+	case outbox.State:
+		addr = rt.cfg.StateAddr
+	case outbox.Cloud:
+		addr = rt.cfg.CloudAddr
+	}
+	body, ok := Raw(c.Body)
+	if !ok && c.Body != nil {
+		var err error
+		if body, err = packed.Marshal(c.Body); err != nil {
+			rt.log.Error("a request cannot be encoded", "path", c.Path, "error", err)
+			return outbox.Result{Err: err}
+		}
+	}
+	msg, err := rt.client.Do(addr, c.Method, c.Path, body, c.Timeout)
+	if err != nil {
+		rt.log.Debug("a call failed", "error", err)
+		return outbox.Result{Err: err}
+	}
+	return outbox.Result{Status: msg.Status, Body: msg.Body, RetryAfter: msg.RetryAfter}
+}
--- /dev/null
+++ b/internal/node/sizing.go
@@ -0,0 +1,169 @@
+package node
+
+import (
+	"sort"
+	"time"
+
+	"gullrudder/internal/fleet"
+	"gullrudder/internal/place"
+	"gullrudder/internal/workers"
+)
+
+// option is a kind of machine that can be rented, with its price per CPU.
+type option struct {
+	kind  fleet.Kind
+	typ   *fleet.Type
+	price float64
+}
+
+func (n *Node) options() []option {
+	var list []option
+	for _, t := range n.lead.cloud.Types {
+		size := max(t.CPUs, t.Cards*8, 0.1)
+		for _, z := range t.Zones {
+			list = append(list, option{kindOf(t, z, false), t, t.Price / size}, option{kindOf(t, z, true), t, t.SpotPrice / size})
+		}
+	}
+	sort.Slice(list, func(a, b int) bool {
+		x, y := list[a], list[b]
+		if x.price != y.price {
+			return x.price < y.price
+		}
+		if x.kind.Type != y.kind.Type {
+			return x.kind.Type < y.kind.Type
+		}
+		return x.kind.Zone < y.kind.Zone
+	})
+	return list
+}
+
+// size rents what the waiting work justifies and gives back what stands idle.
+func (n *Node) size(now time.Time) {
+	l := n.lead
+	n.rank(now)
+	n.giveBack(now)
+	if l.cloud.Lists == 0 || len(l.cloud.Types) == 0 || now.Sub(l.since) < n.cfg.ListLag {
+		return
+	}
+	// Room that is there or coming, per machine; the waiting tasks are laid into it.
+	var room []*workers.Machine
+	have := 0.0
+	for id, h := range l.cloud.Hosts {
+		t := l.cloud.Types[h.Kind.Type]
+		if t == nil || h.Deleting || h.State == fleet.Failed {
+			continue
+		}
+		if m := l.fleet.Machines[id]; m != nil && m.Up {
+			if m.Draining == "" && !l.fleet.Expired(now, m) {
+				have += m.CPUs
+				room = append(room, &workers.Machine{ID: id, Type: m.Type, Zone: m.Zone, Spot: m.Spot, CPUs: m.CPUs, Cards: m.Cards, Mem: m.Mem,
+					UsedCPU: m.UsedCPU, UsedCards: m.UsedCards, UsedMem: m.UsedMem})
+			}
+			continue
+		}
+		have += t.CPUs
+		room = append(room, virtual(h.Kind, t))
+	}
+	total := 0.0
+	for _, e := range l.order {
+		total += e.Work
+	}
+	opts := n.options()
+	if len(opts) == 0 {
+		return
+	}
+	cheapest := opts[0].price
+	asked := map[fleet.Kind]int{}
+	for _, e := range l.order {
+		j := e.Job
+		want := min(j.Waiting(), place.TeamRoom(j, n.teams[j.Team], l.fleet.Team(j.Team)))
+		for _, m := range room {
+			if want <= 0 {
+				break
+			}
+			if place.KindAllowed(j, place.Kind(m)) {
+				want -= take(m, j.CPUs, j.Cards, j.Mem, min(m.Fits(j), want))
+			}
+		}
+		for _, o := range opts {
+			per := place.PerMachine(j, o.typ)
+			if want <= 0 {
+				break
+			}
+			if per == 0 || !place.KindAllowed(j, o.kind) || !l.cloud.Askable(now, o.kind) {
+				continue
+			}
+			// The dearer a machine, the longer must the work last that it shortens.
+			worth := n.opt.Backlog.Seconds() * o.price / cheapest / 3
+			for want > 0 && asked[o.kind] < 50 && (e.Planned || e.Within || total > have*worth) {
+				asked[o.kind]++
+				have += o.typ.CPUs
+				m := virtual(o.kind, o.typ)
+				want -= take(m, j.CPUs, j.Cards, j.Mem, min(per, want))
+				room = append(room, m)
+			}
+		}
+	}
+	for _, o := range opts {
+		if asked[o.kind] > 0 {
+			l.cloud.Rent(now, o.kind, asked[o.kind])
+		}
+	}
+}
+
+func virtual(k fleet.Kind, t *fleet.Type) *workers.Machine {
+	return &workers.Machine{Type: k.Type, Zone: k.Zone, Spot: k.Spot, CPUs: t.CPUs, Cards: t.Cards, Mem: t.Mem}
+}
+
+func take(m *workers.Machine, cpus, cards, mem float64, count int) int {
+	k := float64(count)
+	m.UsedCPU += k * cpus
+	m.UsedCards += k * cards
+	m.UsedMem += k * mem
+	return count
+}
+
+// giveBack returns machines that are idle, faulty, failed, never up or lost.
+func (n *Node) giveBack(now time.Time) {
+	l := n.lead
+	why := map[string][]string{}
+	waiting := 0
+	for _, e := range l.order {
+		waiting += e.Job.Waiting()
+	}
+	for id, h := range l.cloud.Hosts {
+		if h.Deleting {
+			continue
+		}
+		t := l.cloud.Types[h.Kind.Type]
+		m := l.fleet.Machines[id]
+		reason := ""
+		switch {
+		case h.State == fleet.Failed:
+			reason = "failed"
+		case m == nil || !m.Up:
+			if t != nil && now.Sub(h.Born) > 5*t.Boot()/2+30*time.Second && now.Sub(l.since) > n.leaseEnd() {
+				reason = "never up"
+			}
+		case l.fleet.Expired(now, m):
+			if now.Sub(m.Answered) > n.leaseEnd()+15*time.Second {
+				reason = "lost"
+			}
+		case m.Draining == "faulty" && len(m.Attempts) == 0:
+			reason = "faulty"
+		case m.Draining == "" && len(m.Attempts) == 0 && waiting == 0 && now.Sub(m.IdleSince) > n.opt.IdleAfter,
+			m.Draining == "" && len(m.Attempts) == 0 && now.Sub(m.IdleSince) > 3*n.opt.IdleAfter:
+			reason = "idle"
+		}
+		if reason == "" {
+			continue
+		}
+		if m != nil && m.Draining == "" {
+			m.Draining = "returned"
+		}
+		why[reason] = append(why[reason], id)
+	}
+	for reason, ids := range why {
+		l.cloud.Return(now, ids, reason)
+	}
+}
--- /dev/null
+++ b/internal/node/takeover.go
@@ -0,0 +1,183 @@
+package node
+
+import (
+	"strings"
+	"time"
+
+	"gullrudder/internal/fleet"
+	"gullrudder/internal/jobs"
+	"gullrudder/internal/leader"
+	"gullrudder/internal/ledger"
+	"gullrudder/internal/outbox"
+	"gullrudder/internal/packed"
+	"gullrudder/internal/plan"
+	"gullrudder/internal/workers"
+)
+
+// rosterPrefix marks the ledger's entries for machines that may hold tasks.
+const rosterPrefix = "m:"
+
+type rosterEntry struct {
+	Addr string `msgpack:"a" json:"a"`
+}
+
+// leaseEnd is how long after our last 200 a worker's tasks may still be there. The
+// worker counts from when it sent the report, which was before; its clock may run slow.
+func (n *Node) leaseEnd() time.Duration {
+	return n.cfg.WorkerLease + n.cfg.WorkerLease/500 + margin
+}
+
+// takeOver begins a leadership with nothing but the ledger to come.
+func (n *Node) takeOver(now time.Time) {
+	token := n.election.Token()
+	l := &leadership{token: token, since: now, jobs: map[string]*jobs.Job{}, finals: map[string]final{},
+		planner: plan.New(n.opt, n.cfg), holds: map[string]*jobs.Job{}, probes: map[string]time.Time{}}
+	l.ledger = ledger.New(ledger.Options{LeaderKey: leader.Key, ValueBytes: n.cfg.ValueBytes, TxnOps: n.cfg.TxnOps,
+		WriteRate: n.cfg.StateWrites, Quiet: 500 * time.Millisecond}, token, n.log)
+	l.cloud = fleet.New(token, n.cfg.CloudRate, n.cfg.ListLag, n.log)
+	l.fleet = workers.NewFleet(n.leaseEnd(), n.log)
+	n.lead = l
+	l.ledger.Load(&n.box)
+}
+
+// build makes the jobs and the roster from the ledger.
+func (n *Node) build(now time.Time) {
+	l := n.lead
+	type chunk struct {
+		id string
+		c  int
+		v  jobs.Chunk
+	}
+	var chunks []chunk
+	l.ledger.Each(func(name string, decode func(any) error) {
+		if id, ok := strings.CutPrefix(name, rosterPrefix); ok {
+			var e rosterEntry
+			if err := decode(&e); err != nil {
+				n.log.Error("a roster entry cannot be read", "machine", id, "error", err)
+			}
+			m := l.fleet.Machine(id)
+			m.Rostered, m.Addr = true, e.Addr
+			if m.Answered.IsZero() {
+				m.Answered = l.since
+			}
+			return
+		}
+		if id, c, ok := jobs.ChunkOf(name); ok {
+			var v jobs.Chunk
+			if err := decode(&v); err != nil {
+				n.log.Error("task results cannot be read", "entry", name, "error", err)
+				return
+			}
+			chunks = append(chunks, chunk{id, c, v})
+			return
+		}
+		var rec jobs.Record
+		if err := decode(&rec); err != nil {
+			n.log.Error("a job cannot be read", "job", name, "error", err)
+			return
+		}
+		j, err := jobs.FromRecord(name, rec)
+		if err != nil {
+			n.log.Error("a job cannot be rebuilt", "job", name, "error", err)
+			return
+		}
+		if j.State == jobs.Done || j.State == jobs.Cancelled && rec.CPUs+rec.Mem+rec.Cards == 0 {
+			l.finals[name] = final{done: j.State == jobs.Done, tasks: j.Tasks}
+			return
+		}
+		l.jobs[name] = j
+	})
+	for _, c := range chunks {
+		if j := l.jobs[c.id]; j != nil {
+			if err := j.RestoreChunk(c.c, c.v); err != nil {
+				n.log.Error("task results cannot be restored", "job", c.id, "error", err)
+			}
+		}
+	}
+	for _, j := range l.jobs {
+		n.finish(now, j)
+	}
+	l.built, l.stale = true, true
+	n.log.Info("ledger taken over", "token", l.token, "jobs", len(l.jobs), "finals", len(l.finals), "machines", len(l.fleet.Machines))
+	n.account(now)
+}
+
+// account begins to place once every machine on the roster is accounted for. It asks
+// the workers directly: the empty command raises their token, so that nothing of an
+// earlier leader is executed any more, and its answer is their report.
+func (n *Node) account(now time.Time) {
+	l := n.lead
+	missing := 0
+	for _, m := range l.fleet.Sorted() {
+		if !m.Rostered || m.Accounted {
+			continue
+		}
+		if l.cloud.Dead(m.ID) || l.fleet.Expired(now, m) {
+			continue
+		}
+		missing++
+		if m.Addr != "" && !now.Before(l.probes[m.ID]) && len(l.probes) < 1000 {
+			l.probes[m.ID] = now.Add(1500 * time.Millisecond)
+			n.probe(m, max(m.Session, 1), 3)
+		}
+	}
+	if missing == 0 {
+		l.placing, l.stale = true, true
+		n.log.Info("placing begins", "token", l.token, "after", now.Sub(l.since).Round(time.Millisecond))
+	}
+}
+
+func (n *Node) probe(m *workers.Machine, session uint64, tries int) {
+	l := n.lead
+	n.box.Add(outbox.Call{Service: outbox.Worker, Addr: m.Addr, Method: "POST", Path: "/commands",
+		Body: workers.Direct{Token: l.token, Session: session, Commands: []workers.Command{}}, Timeout: time.Second,
+		Done: func(now time.Time, res outbox.Result) {
+			var r workers.Report
+			if n.lead != l || m.Accounted || (res.Status != 200 && res.Status != 409) || packed.Unmarshal(res.Body, &r) != nil || r.Machine != m.ID {
+				return
+			}
+			if res.Status == 200 && r.Token == l.token {
+				if m.Newer(&r) {
+					n.observe(now, m, &r, false)
+				}
+				return
+			}
+			if tries > 0 && r.Token <= l.token {
+				n.probe(m, r.Session, tries-1)
+			}
+		}})
+}
+
+// expire takes the tasks of workers whose lease has ended for gone.
+func (n *Node) expire(now time.Time) {
+	l := n.lead
+	for _, m := range l.fleet.Machines {
+		if !l.fleet.Expired(now, m) {
+			continue
+		}
+		if len(m.Attempts) > 0 {
+			n.log.Info("a worker's lease has ended", "machine", m.ID, "tasks", len(m.Attempts))
+			n.ended(now, m, l.fleet.Clear(m))
+		}
+		if m.Rostered {
+			m.Rostered = false
+			l.ledger.Drop(now, rosterPrefix+m.ID)
+		}
+	}
+}
+
+// takeGone takes in the machines whose deletion the cloud has confirmed.
+func (n *Node) takeGone(now time.Time) {
+	l := n.lead
+	gone := l.cloud.Gone
+	l.cloud.Gone = nil
+	for _, id := range gone {
+		m := l.fleet.Machines[id]
+		if m == nil {
+			continue
+		}
+		n.ended(now, m, l.fleet.Clear(m))
+		delete(l.fleet.Machines, id)
+		l.ledger.Drop(now, rosterPrefix+id)
+	}
+}
--- /dev/null
+++ b/internal/place/place.go
@@ -0,0 +1,120 @@
+// Package place decides where a task may run and which machine it takes: the rules for
+// types, zones and kinds, the teams' limits, and the packing.
+package place
+
+import (
+	"math"
+
+	"gullrudder/internal/config"
+	"gullrudder/internal/fleet"
+	"gullrudder/internal/jobs"
+	"gullrudder/internal/workers"
+)
+
+const grain = 1e-6
+
+// KindAllowed reports whether the job may run on such machines at all.
+func KindAllowed(j *jobs.Job, k fleet.Kind) bool {
+	if k.Spot && !j.Spot || j.Zone != "" && j.Zone != k.Zone {
+		return false
+	}
+	if len(j.Types) == 0 {
+		return true
+	}
+	for _, t := range j.Types {
+		if t == k.Type {
+			return true
+		}
+	}
+	return false
+}
+
+// TypeFits reports whether an empty machine of the type holds one task.
+func TypeFits(j *jobs.Job, t *fleet.Type) bool {
+	return j.CPUs <= t.CPUs+grain && j.Cards <= t.Cards+grain && j.Mem <= t.Mem+grain
+}
+
+// PerMachine is how many tasks an empty machine of the type holds.
+func PerMachine(j *jobs.Job, t *fleet.Type) int {
+	return (&workers.Machine{CPUs: t.CPUs, Cards: t.Cards, Mem: t.Mem}).Fits(j)
+}
+
+// ZoneRoom is how many more tasks of the job may be put into the zone, given where its
+// other tasks are or may still be.
+func ZoneRoom(j *jobs.Job, zone string) int {
+	if !j.OneZone && !j.Spread {
+		return j.Tasks
+	}
+	here, elsewhere := 0, 0
+	for _, a := range j.Active {
+		if a.Zone == zone {
+			here++
+		} else {
+			elsewhere++
+		}
+	}
+	if j.OneZone && elsewhere > 0 {
+		return 0
+	}
+	if j.Spread {
+		return max((j.Tasks+1)/2-here, 0)
+	}
+	return j.Tasks
+}
+
+// TeamRoom is how many more tasks of the job its team's limit allows.
+func TeamRoom(j *jobs.Job, t config.Team, u *workers.Usage) int {
+	n := j.Tasks
+	if t.CPULimit > 0 && j.CPUs > 0 {
+		n = min(n, int(math.Floor((t.CPULimit-u.CPUs+grain)/j.CPUs)))
+	}
+	if t.CardsLimit > 0 && j.Cards > 0 {
+		n = min(n, int(math.Floor((t.CardsLimit-u.Cards+grain)/j.Cards)))
+	}
+	return max(n, 0)
+}
+
+// OverLimit reports whether the job can never run within its team's limit.
+func OverLimit(j *jobs.Job, t config.Team) bool {
+	n := 1.0
+	if j.Service {
+		n = float64(j.Tasks)
+	}
+	return t.CPULimit > 0 && n*j.CPUs > t.CPULimit+grain || t.CardsLimit > 0 && n*j.Cards > t.CardsLimit+grain
+}
+
+// Kind is the kind of a machine.
+func Kind(m *workers.Machine) fleet.Kind { return fleet.Kind{Type: m.Type, Zone: m.Zone, Spot: m.Spot} }
+
+// Usable reports whether tasks of the job may be started on the machine if there is room.
+func Usable(j *jobs.Job, m *workers.Machine) bool {
+	return m.Draining == "" && m.CPUs+m.Mem > 0 && !m.Failed[j.ID] && KindAllowed(j, Kind(m))
+}
+
+// RoundUp is the room that a guaranteed job is planned with: a power-of-two share of a
+// machine of the given size, or whole machines.
+func RoundUp(cpus, machine float64) float64 {
+	if machine <= 0 || cpus <= 0 {
+		return cpus
+	}
+	if cpus >= machine {
+		return math.Ceil(cpus/machine-grain) * machine
+	}
+	share := machine
+	for share/2 >= cpus-grain {
+		share /= 2
+	}
+	return share
+}
+
+// Fuller reports whether a is the better place to pack onto than b.
+func Fuller(a, b *workers.Machine) bool {
+	fa, fb := a.UsedCPU/max(a.CPUs, grain), b.UsedCPU/max(b.CPUs, grain)
+	if math.Abs(fa-fb) > grain {
+		return fa > fb
+	}
+	if a.CPUs != b.CPUs {
+		return a.CPUs > b.CPUs
+	}
+	return a.ID < b.ID
+}
--- /dev/null
+++ b/internal/plan/plan.go
@@ -0,0 +1,317 @@
+// Package plan is the term-by-term plan: which deadline jobs are guaranteed, and in
+// which order the waiting tasks get room.
+package plan
+
+import (
+	"math"
+	"sort"
+	"time"
+
+	"gullrudder/internal/config"
+	"gullrudder/internal/jobs"
+	"gullrudder/internal/place"
+)
+
+// Planner holds what the plan is made from.
+type Planner struct {
+	opt     config.Options
+	teams   map[string]config.Team
+	waitBy  map[string]time.Duration // earliest aim of a class for starting
+	doneBy  map[string]time.Duration // earliest aim of a class for finishing
+	classes map[string]*classStats
+	shares  []submission
+}
+
+type classStats struct {
+	ratio float64 // actual run time over the owners' estimates
+	n     int
+}
+
+type submission struct {
+	at   time.Time
+	team string
+	cpus float64
+}
+
+// New makes a planner.
+func New(opt config.Options, p *config.Platform) *Planner {
+	pl := &Planner{opt: opt, teams: map[string]config.Team{}, waitBy: map[string]time.Duration{},
+		doneBy: map[string]time.Duration{}, classes: map[string]*classStats{}}
+	for _, t := range p.Teams {
+		pl.teams[t.Name] = t
+	}
+	for _, o := range p.Objectives {
+		by := pl.waitBy
+		switch o.Kind {
+		case "wait":
+		case "finished":
+			by = pl.doneBy
+		default:
+			continue
+		}
+		if d, ok := by[o.Class]; !ok || o.Within < d {
+			by[o.Class] = o.Within
+		}
+	}
+	return pl
+}
+
+// Learn takes in how long a task of the job has run.
+func (p *Planner) Learn(j *jobs.Job, ran time.Duration) {
+	j.RanSum += ran
+	j.RanCount++
+	if j.Estimate <= 0 {
+		return
+	}
+	s := p.classes[j.Class]
+	if s == nil {
+		s = &classStats{ratio: 1}
+		p.classes[j.Class] = s
+	}
+	s.n++
+	weight := max(1/float64(s.n+4), 0.01)
+	s.ratio += weight * (min(ran.Seconds()/j.Estimate.Seconds(), 10) - s.ratio)
+}
+
+// PerTask is the expected run time of one of the job's tasks: the owner's estimate,
+// corrected by what its class and the job itself have shown.
+func (p *Planner) PerTask(j *jobs.Job) time.Duration {
+	est := j.Estimate
+	if s := p.classes[j.Class]; s != nil {
+		est = time.Duration(float64(est) * s.ratio)
+	}
+	if j.RanCount > 0 {
+		// The first tasks to end are the short ones, so the job's own mean weighs more
+		// the more of them there are.
+		n := time.Duration(min(j.RanCount, 8))
+		est = (est*2 + j.RanSum/time.Duration(j.RanCount)*n) / (2 + n)
+	}
+	return max(est, time.Second)
+}
+
+// Work is the CPU time that the job still needs; a task that takes none counts a little.
+func (p *Planner) Work(j *jobs.Job, now time.Time) float64 {
+	return j.Remaining(p.PerTask(j), now).Seconds() * max(j.CPUs, 0.1)
+}
+
+// Due is when a deadline job has to be complete.
+func Due(j *jobs.Job) time.Time { return j.Submitted.Add(j.Deadline) }
+
+// Room is the fleet that the plan counts on.
+type Room struct {
+	CPUs    float64 // of all machines that can be had
+	Machine float64 // of the machine type that jobs are rounded up to
+}
+
+const horizon = 240 // terms that are planned at most
+
+// schedule lays deadline jobs, tightest first, into terms. What does not fit before its
+// deadline is dropped, the job with the lowest payoff first; lost holds the dropped.
+type schedule struct {
+	term time.Duration
+	now  time.Time
+	held []float64
+	room Room
+}
+
+// lay tries to hold room for a job and reports whether it fits; if not, nothing is held.
+func (s *schedule) lay(j *jobs.Job, perTask time.Duration, work float64) bool {
+	due := Due(j).Sub(s.now)
+	width := place.RoundUp(float64(j.Tasks-j.NDone)*max(j.CPUs, 0.1), s.room.Machine)
+	terms := int(due / s.term)
+	if terms > horizon {
+		terms = horizon
+	}
+	if len(j.Active) == 0 && due < perTask {
+		return false
+	}
+	// The last term counts as far as the deadline reaches into it.
+	tail := (due - time.Duration(terms)*s.term).Seconds()
+	taken := make([]float64, 0, terms+1)
+	for t := 0; t <= terms && work > 1e-9; t++ {
+		span := s.term.Seconds()
+		if t == terms {
+			span = max(tail, 0)
+		}
+		if span <= 0 {
+			break
+		}
+		for len(s.held) <= t {
+			s.held = append(s.held, 0)
+		}
+		r := min(width, max(s.room.CPUs-s.held[t], 0), math.Ceil(work/span/max(j.CPUs, 0.1)-1e-9)*max(j.CPUs, 0.1))
+		taken = append(taken, r)
+		work -= r * span
+	}
+	if work > 1e-9 {
+		return false
+	}
+	for t, r := range taken {
+		s.held[t] += r
+	}
+	return true
+}
+
+// Admit decides whether a new deadline job is guaranteed: its terms fit before its
+// deadline beside what is held for the guaranteed jobs, and its team stays within its
+// share of the fleet.
+func (p *Planner) Admit(now time.Time, j *jobs.Job, live []*jobs.Job, room Room) bool {
+	cpus := float64(j.Tasks) * j.CPUs
+	share := cpus
+	keep := p.shares[:0]
+	for _, s := range p.shares {
+		if now.Sub(s.at) < p.opt.SubmitLease {
+			keep = append(keep, s)
+			if s.team == j.Team {
+				share += s.cpus
+			}
+		}
+	}
+	p.shares = append(keep, submission{now, j.Team, cpus})
+	if j.Deadline <= 0 || j.Service || share > p.opt.TeamShare*room.CPUs {
+		return false
+	}
+	var list []*jobs.Job
+	for _, o := range live {
+		if o.Guaranteed {
+			list = append(list, o)
+		}
+	}
+	s := p.replan(now, list, room, nil)
+	return s.lay(j, p.PerTask(j), p.Work(j, now))
+}
+
+// replan lays the guaranteed jobs. planned, if given, gets those that fit.
+func (p *Planner) replan(now time.Time, list []*jobs.Job, room Room, planned map[*jobs.Job]bool) *schedule {
+	sort.SliceStable(list, func(a, b int) bool {
+		da, db := Due(list[a]), Due(list[b])
+		if !da.Equal(db) {
+			return da.Before(db)
+		}
+		return list[a].ID < list[b].ID
+	})
+	s := &schedule{term: p.opt.Term, now: now, room: room}
+	for _, j := range list {
+		if s.lay(j, p.PerTask(j), p.Work(j, now)) && planned != nil {
+			planned[j] = true
+		}
+	}
+	return s
+}
+
+// payoff is what completing a job is worth, in steps: a whole step less for every step
+// of lateness.
+func (p *Planner) payoff(now time.Time, j *jobs.Job) int {
+	late := now.Sub(Due(j))
+	if late <= 0 {
+		return 0
+	}
+	return -1 - int(late/p.opt.PayoffStep)
+}
+
+// Entry is a job in the order, with what the packing needs to know.
+type Entry struct {
+	Job     *jobs.Job
+	Hold    bool // free room may be held for it
+	Planned bool // guaranteed, and its terms fit
+	Within  bool // within its team's guarantee
+	PerTask time.Duration
+	Work    float64
+	rank    int
+	key     float64
+}
+
+const (
+	rankService = iota
+	rankPlanned
+	rankWithin
+	rankAged
+	rankRest
+)
+
+// Order ranks the jobs that may run: services by their priority, the guaranteed jobs by
+// deadline, then best effort: what a team's guarantee covers, what has waited past its
+// bound, and the rest by the shortest remaining time.
+func (p *Planner) Order(now time.Time, live []*jobs.Job, room Room) []Entry {
+	var guaranteed []*jobs.Job
+	for _, j := range live {
+		if j.Guaranteed && p.payoff(now, j) >= 0 {
+			guaranteed = append(guaranteed, j)
+		}
+	}
+	planned := map[*jobs.Job]bool{}
+	p.replan(now, guaranteed, room, planned)
+	within := p.within(live)
+	list := make([]Entry, 0, len(live))
+	for _, j := range live {
+		e := Entry{Job: j, PerTask: p.PerTask(j), Work: p.Work(j, now), Planned: planned[j], Within: within[j]}
+		age := now.Sub(j.Submitted)
+		switch {
+		case j.Service:
+			e.rank, e.key, e.Hold = rankService, -float64(j.Priority), true
+		case e.Planned:
+			e.rank, e.key, e.Hold = rankPlanned, Due(j).Sub(now).Seconds(), true
+		case e.Within:
+			e.rank, e.key, e.Hold = rankWithin, -age.Seconds(), true
+		case age > p.bound(j):
+			e.rank, e.key, e.Hold = rankAged, -age.Seconds(), true
+		default:
+			// Ageing within the bound: every second of waiting takes one off.
+			e.rank, e.key = rankRest, e.Work/max(room.CPUs, 1)-age.Seconds()/p.bound(j).Seconds()
+		}
+		list = append(list, e)
+	}
+	sort.Slice(list, func(a, b int) bool {
+		x, y := &list[a], &list[b]
+		if x.rank != y.rank {
+			return x.rank < y.rank
+		}
+		if x.key != y.key {
+			return x.key < y.key
+		}
+		return x.Job.ID < y.Job.ID
+	})
+	return list
+}
+
+// bound is the wait after which a best-effort job goes before younger ones: half of what
+// its class is aimed to wait, or what is left of the aim for finishing, if that is less
+// than the operators' bound.
+func (p *Planner) bound(j *jobs.Job) time.Duration {
+	b := p.opt.AgeBound
+	if w, ok := p.waitBy[j.Class]; ok {
+		b = min(b, w/2)
+	}
+	return max(b, time.Second)
+}
+
+// within marks the jobs that fit into their team's guarantee together with the team's
+// earlier unfinished jobs.
+func (p *Planner) within(live []*jobs.Job) map[*jobs.Job]bool {
+	byTeam := map[string][]*jobs.Job{}
+	for _, j := range live {
+		if t := p.teams[j.Team]; t.CPUs > 0 || t.Cards > 0 {
+			byTeam[j.Team] = append(byTeam[j.Team], j)
+		}
+	}
+	marked := map[*jobs.Job]bool{}
+	for name, list := range byTeam {
+		sort.Slice(list, func(a, b int) bool {
+			if !list[a].Submitted.Equal(list[b].Submitted) {
+				return list[a].Submitted.Before(list[b].Submitted)
+			}
+			return list[a].ID < list[b].ID
+		})
+		t := p.teams[name]
+		var cpus, cards float64
+		for _, j := range list {
+			cpus += float64(j.Tasks) * j.CPUs
+			cards += float64(j.Tasks) * j.Cards
+			if cpus > t.CPUs+1e-6 || cards > t.Cards+1e-6 {
+				break
+			}
+			marked[j] = true
+		}
+	}
+	return marked
+}
--- /dev/null
+++ b/internal/workers/workers.go
@@ -0,0 +1,282 @@
+package workers
+
+import (
+	"log/slog"
+	"sort"
+	"time"
+
+	"gullrudder/internal/jobs"
+)
+
+// Machine is one worker's machine as the leader knows it.
+type Machine struct {
+	ID, Addr, Type, Zone string
+	Spot                 bool
+	CPUs, Cards, Mem     float64 // 0 until the type is known
+
+	Session, Seq uint64
+	Up           bool      // has reported to this leadership
+	Accounted    bool      // its tasks are known to this leadership
+	Answered     time.Time // when we last sent it a 200
+	Heard        time.Time
+	FirstHeard   time.Time
+	Attempts     map[jobs.Key]*jobs.Attempt
+	UsedCPU      float64
+	UsedCards    float64
+	UsedMem      float64
+
+	Rostered  bool      // the ledger says that it may hold tasks
+	Enrolling bool      // that is on its way into the ledger
+	NoticeAt  time.Time // when the cloud takes it away; zero: no notice
+	Draining  string    // why nothing more starts here; empty: usable
+	IdleSince time.Time
+	RoomFrom  time.Time       // no start before this, after a refusal for room
+	Failed    map[string]bool // jobs that ended here with an error
+	Completed int
+	Images    map[string]bool // images that tasks here have had
+}
+
+// Free reports whether a task of the job fits besides the attempts here.
+func (m *Machine) Free(j *jobs.Job) bool { return m.Fits(j) > 0 }
+
+const grain = 1e-6
+
+// Fits is how many more tasks of the job the machine has room for.
+func (m *Machine) Fits(j *jobs.Job) int {
+	n := j.Tasks
+	for _, r := range [...]struct{ need, free float64 }{
+		{j.CPUs, m.CPUs - m.UsedCPU}, {j.Cards, m.Cards - m.UsedCards}, {j.Mem, m.Mem - m.UsedMem},
+	} {
+		if r.need > 0 {
+			n = min(n, int((r.free+grain)/r.need))
+		}
+	}
+	return max(n, 0)
+}
+
+func (m *Machine) add(a *jobs.Attempt) {
+	m.Attempts[a.Key] = a
+	if a.Job != nil {
+		m.UsedCPU += a.Job.CPUs
+		m.UsedCards += a.Job.Cards
+		m.UsedMem += a.Job.Mem
+	}
+}
+
+func (m *Machine) remove(a *jobs.Attempt) {
+	if m.Attempts[a.Key] != a {
+		return
+	}
+	delete(m.Attempts, a.Key)
+	if a.Job != nil {
+		m.UsedCPU -= a.Job.CPUs
+		m.UsedCards -= a.Job.Cards
+		m.UsedMem -= a.Job.Mem
+	}
+	if len(m.Attempts) == 0 {
+		m.UsedCPU, m.UsedCards, m.UsedMem = 0, 0, 0
+	}
+}
+
+// Usage is what a team's tasks take, counting those whose fate is unknown.
+type Usage struct{ CPUs, Cards float64 }
+
+// Lookup finds a job by its id: nil if there is none that is unfinished.
+type Lookup func(id string) *jobs.Job
+
+// Ended is an attempt that is known to be gone.
+type Ended struct {
+	Attempt *jobs.Attempt
+	Why     string // as reported; "lost" if the machine just lacks it
+	Saved   bool
+}
+
+// Lost is the reason of an attempt that is gone without a word.
+const Lost = "lost"
+
+// Fleet is all machines that this leadership knows.
+type Fleet struct {
+	Machines map[string]*Machine
+	Teams    map[string]*Usage
+	lease    time.Duration
+	log      *slog.Logger
+}
+
+// NewFleet makes an empty one. lease is how long a machine's tasks may outlive the last
+// 200 that it was sent, margin included.
+func NewFleet(lease time.Duration, log *slog.Logger) *Fleet {
+	return &Fleet{Machines: map[string]*Machine{}, Teams: map[string]*Usage{}, lease: lease, log: log}
+}
+
+// Machine finds or makes a machine.
+func (f *Fleet) Machine(id string) *Machine {
+	m := f.Machines[id]
+	if m == nil {
+		m = &Machine{ID: id, Attempts: map[jobs.Key]*jobs.Attempt{}, Failed: map[string]bool{}, Images: map[string]bool{}}
+		f.Machines[id] = m
+	}
+	return m
+}
+
+// Sorted lists the machines by name.
+func (f *Fleet) Sorted() []*Machine {
+	list := make([]*Machine, 0, len(f.Machines))
+	for _, m := range f.Machines {
+		list = append(list, m)
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].ID < list[j].ID })
+	return list
+}
+
+// Team is the usage of a team.
+func (f *Fleet) Team(name string) *Usage {
+	u := f.Teams[name]
+	if u == nil {
+		u = &Usage{}
+		f.Teams[name] = u
+	}
+	return u
+}
+
+// Place records an attempt that is about to be started on the machine.
+func (f *Fleet) Place(m *Machine, a *jobs.Attempt) {
+	m.add(a)
+	if a.Job == nil {
+		return
+	}
+	u := f.Team(a.Job.Team)
+	u.CPUs += a.Job.CPUs
+	u.Cards += a.Job.Cards
+	if !a.Stray {
+		a.Job.Active[a.Key.Task] = a
+	}
+}
+
+// release takes an attempt off its machine: it is known to be gone.
+func (f *Fleet) release(m *Machine, a *jobs.Attempt) {
+	m.remove(a)
+	if a.Job == nil {
+		return
+	}
+	u := f.Team(a.Job.Team)
+	u.CPUs -= a.Job.CPUs
+	u.Cards -= a.Job.Cards
+	if a.Job.Active[a.Key.Task] == a {
+		delete(a.Job.Active, a.Key.Task)
+	}
+}
+
+// Newer reports whether the report is newer than what is known of its machine.
+func (m *Machine) Newer(r *Report) bool {
+	if !m.Up {
+		return true
+	}
+	return r.Session > m.Session || r.Session == m.Session && r.Seq > m.Seq
+}
+
+// Observe takes in a report that is newer than all before. whole is false for the answer
+// to a direct command: it may have been made before the worker got the start commands of
+// a response that is still on its way, so a task that it lacks is not gone.
+func (f *Fleet) Observe(now time.Time, m *Machine, r *Report, whole bool, find Lookup) []Ended {
+	if !m.Up {
+		m.Up, m.FirstHeard = true, now
+		m.IdleSince = now
+	}
+	newSession := r.Session != m.Session
+	m.Session, m.Seq, m.Heard = r.Session, r.Seq, now
+	m.Addr, m.Type, m.Zone, m.Spot = r.Addr, r.Type, r.Zone, r.Spot
+	f.notice(now, m, r)
+	var ended []Ended
+	present := make(map[jobs.Key]uint64, len(r.Tasks))
+	for i := range r.Tasks {
+		t := &r.Tasks[i]
+		key, err := jobs.ParseKey(t.Task)
+		if err != nil {
+			f.log.Info("a worker reports an impossible task", "machine", m.ID, "task", t.Task)
+			continue
+		}
+		a := m.Attempts[key]
+		if t.State == StateExited {
+			if a != nil && a.Number == t.Attempt {
+				f.release(m, a)
+				ended = append(ended, Ended{a, t.Why, t.Saved})
+			} else if t.Why == WhyDone {
+				// Done by an attempt of which we hold nothing, such as one that an
+				// earlier leader started: its result counts all the same.
+				ended = append(ended, Ended{&jobs.Attempt{Key: key, Number: t.Attempt, Machine: m.ID, Zone: m.Zone, Job: find(key.Job)}, WhyDone, false})
+			}
+			continue
+		}
+		present[key] = t.Attempt
+		if a == nil || a.Number != t.Attempt {
+			if a != nil {
+				f.release(m, a)
+				ended = append(ended, Ended{a, Lost, false})
+			}
+			a = f.adopt(now, m, key, t.Attempt, find)
+		}
+		switch t.State {
+		case StateRunning:
+			if a.Running.IsZero() {
+				a.Running = now
+				if a.Job != nil {
+					m.Images[a.Job.Image] = true
+				}
+			}
+		case StateSaving:
+			a.Saving = true
+		}
+	}
+	if whole || newSession {
+		for key, a := range m.Attempts {
+			if _, ok := present[key]; !ok {
+				f.release(m, a)
+				ended = append(ended, Ended{a, Lost, false})
+			}
+		}
+	}
+	if len(m.Attempts) > 0 {
+		m.IdleSince = now
+	}
+	return ended
+}
+
+func (f *Fleet) notice(now time.Time, m *Machine, r *Report) {
+	if r.Notice == nil {
+		return
+	}
+	if m.NoticeAt.IsZero() {
+		f.log.Info("the cloud takes a machine back", "machine", m.ID, "in", *r.Notice)
+	}
+	m.NoticeAt = now.Add(time.Duration(max(min(*r.Notice, 3600), 0) * float64(time.Second)))
+	if m.Draining == "" {
+		m.Draining = "notice"
+	}
+}
+
+// adopt takes in an attempt of which we hold nothing. Unless its task may run here, it
+// is a stray: it holds its place until it is gone, and is to be stopped.
+func (f *Fleet) adopt(now time.Time, m *Machine, key jobs.Key, number uint64, find Lookup) *jobs.Attempt {
+	j := find(key.Job)
+	a := &jobs.Attempt{Key: key, Number: number, Machine: m.ID, Zone: m.Zone, Job: j, Assigned: now}
+	a.Stray = j == nil || key.Task >= j.Tasks || !j.Live() || j.IsDone(key.Task) || j.Active[key.Task] != nil
+	if j != nil && key.Task >= j.Tasks {
+		a.Job = nil
+	}
+	f.Place(m, a)
+	return a
+}
+
+// Expired reports whether the worker's lease has ended for certain, so that it holds no
+// task any more.
+func (f *Fleet) Expired(now time.Time, m *Machine) bool { return now.Sub(m.Answered) > f.lease }
+
+// Clear takes all attempts off a machine that is known to hold none.
+func (f *Fleet) Clear(m *Machine) []Ended {
+	var ended []Ended
+	for _, a := range m.Attempts {
+		f.release(m, a)
+		ended = append(ended, Ended{a, Lost, false})
+	}
+	return ended
+}
