--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -17,7 +17,6 @@
 	opt     config.Options
 	teams   map[string]config.Team
 	waitBy  map[string]time.Duration // earliest aim of a class for starting
-	doneBy  map[string]time.Duration // earliest aim of a class for finishing
 	classes map[string]*classStats
 	shares  []submission
 }
@@ -35,22 +34,13 @@
 
 // New makes a planner.
 func New(opt config.Options, p *config.Platform) *Planner {
-	pl := &Planner{opt: opt, teams: map[string]config.Team{}, waitBy: map[string]time.Duration{},
-		doneBy: map[string]time.Duration{}, classes: map[string]*classStats{}}
+	pl := &Planner{opt: opt, teams: map[string]config.Team{}, waitBy: map[string]time.Duration{}, classes: map[string]*classStats{}}
 	for _, t := range p.Teams {
 		pl.teams[t.Name] = t
 	}
 	for _, o := range p.Objectives {
-		by := pl.waitBy
-		switch o.Kind {
-		case "wait":
-		case "finished":
-			by = pl.doneBy
-		default:
-			continue
-		}
-		if d, ok := by[o.Class]; !ok || o.Within < d {
-			by[o.Class] = o.Within
+		if d, ok := pl.waitBy[o.Class]; o.Kind == "wait" && (!ok || o.Within < d) {
+			pl.waitBy[o.Class] = o.Within
 		}
 	}
 	return pl
@@ -117,6 +107,11 @@
 // lay tries to hold room for a job and reports whether it fits; if not, nothing is held.
 func (s *schedule) lay(j *jobs.Job, perTask time.Duration, work float64) bool {
 	due := Due(j).Sub(s.now)
+	if due <= 0 {
+		// A job that is late already has no terms left; counting them below zero once
+		// ended the process.
+		return work <= 1e-9
+	}
 	width := place.RoundUp(float64(j.Tasks-j.NDone)*max(j.CPUs, 0.1), s.room.Machine)
 	terms := int(due / s.term)
 	if terms > horizon {
