Rent at once on an empty ledger and again after each answer

Cause: the first machines were asked for after 3 to 8 s, one kind a second, and a refused kind was asked for again only after 40 s, so the first jobs missed their 40 s and a wave of taken machines was made good half a minute late.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -85,7 +85,8 @@
 	listAt  time.Time
 	listing bool
 	asking  bool
-	Lists   int // complete lists read
+	Lists   int  // complete lists read
+	settled bool // a rental has been answered
 	waiting []func(*outbox.Box)
 	pauseTo time.Time
 	seen    map[string]bool
@@ -277,6 +278,7 @@
 				Hosts []string `msgpack:"oarlocks"`
 				Error string   `msgpack:"error"`
 			}
+			c.settled = true
 			if len(r.Body) > 0 && packed.Unmarshal(r.Body, &a) != nil {
 				a.Error = "unreadable"
 			}
@@ -307,8 +309,17 @@
 		}})
 }
 
+// backoff grows with every refusal, but stays short: what the cloud takes back in a wave
+// it soon has again.
 func backoff(d time.Duration) time.Duration {
-	return min(max(2*d, 5*time.Second), 40*time.Second)
+	return min(max(2*d, 3*time.Second), 12*time.Second)
+}
+
+// TakeSettled reports whether a rental has been answered since it was last asked.
+func (c *Cloud) TakeSettled() bool {
+	s := c.settled
+	c.settled = false
+	return s
 }
 
 // Return gives machines back.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -83,6 +83,7 @@
 	fleet    *workers.Fleet
 	cloud    *fleet.Cloud
 	planner  *plan.Planner
+	first    bool // the ledger was empty: nobody has led before
 	built    bool // the ledger has been taken over
 	placing  bool // every machine that may hold tasks is accounted for
 	order    []plan.Entry
@@ -280,7 +281,7 @@
 		l.nextSave = now.Add(250 * time.Millisecond)
 		n.save(now)
 	}
-	if l.placing && !now.Before(l.nextSize) {
+	if l.placing && (!now.Before(l.nextSize) || l.cloud.TakeSettled()) {
 		l.nextSize = now.Add(time.Second)
 		n.size(now)
 	}
--- a/internal/node/sizing.go
+++ b/internal/node/sizing.go
@@ -42,7 +42,9 @@
 	l := n.lead
 	n.rank(now)
 	n.giveBack(now)
-	if l.cloud.Lists == 0 || len(l.cloud.Types) == 0 || now.Sub(l.since) < n.cfg.ListLag {
+	// What an earlier leader has rented last is not listed yet; only where the ledger
+	// holds nothing at all is there no earlier leader.
+	if len(l.cloud.Types) == 0 || !l.first && (l.cloud.Lists == 0 || now.Sub(l.since) < n.cfg.ListLag) {
 		return
 	}
 	// Room that is there or coming, per machine; the waiting tasks are laid into it.
--- a/internal/node/takeover.go
+++ b/internal/node/takeover.go
@@ -98,6 +98,7 @@
 		n.finish(now, j)
 	}
 	l.built, l.stale = true, true
+	l.first = len(l.jobs)+len(l.finals)+len(l.fleet.Machines) == 0
 	n.log.Info("ledger taken over", "token", l.token, "jobs", len(l.jobs), "finals", len(l.finals), "machines", len(l.fleet.Machines))
 	n.account(now)
 }
