--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -4,6 +4,7 @@
 
 import (
 	"math"
+	"slices"
 	"sort"
 	"time"
 
@@ -16,7 +17,8 @@
 type Planner struct {
 	opt     config.Options
 	teams   map[string]config.Team
-	waitBy  map[string]time.Duration // earliest aim of a class for starting
+	waitBy  map[string][]time.Duration // aims of a class for starting, earliest first
+	doneBy  map[string][]time.Duration // aims of a class for finishing, earliest first
 	classes map[string]*classStats
 	shares  []submission
 }
@@ -34,13 +36,22 @@
 
 // New makes a planner.
 func New(opt config.Options, p *config.Platform) *Planner {
-	pl := &Planner{opt: opt, teams: map[string]config.Team{}, waitBy: map[string]time.Duration{}, classes: map[string]*classStats{}}
+	pl := &Planner{opt: opt, teams: map[string]config.Team{}, waitBy: map[string][]time.Duration{},
+		doneBy: map[string][]time.Duration{}, classes: map[string]*classStats{}}
 	for _, t := range p.Teams {
 		pl.teams[t.Name] = t
 	}
 	for _, o := range p.Objectives {
-		if d, ok := pl.waitBy[o.Class]; o.Kind == "wait" && (!ok || o.Within < d) {
-			pl.waitBy[o.Class] = o.Within
+		switch o.Kind {
+		case "wait":
+			pl.waitBy[o.Class] = append(pl.waitBy[o.Class], o.Within)
+		case "finished":
+			pl.doneBy[o.Class] = append(pl.doneBy[o.Class], o.Within)
+		}
+	}
+	for _, by := range []map[string][]time.Duration{pl.waitBy, pl.doneBy} {
+		for _, list := range by {
+			slices.Sort(list)
 		}
 	}
 	return pl
@@ -222,11 +233,14 @@
 	rankWithin
 	rankAged
 	rankRest
+	rankMissed
 )
 
 // Order ranks the jobs that may run: services by their priority, the guaranteed jobs by
 // deadline, then best effort: what a team's guarantee covers, what has waited past its
-// bound, and the rest by the shortest remaining time.
+// bound, then the shortest remaining time. Payoff steps: a job whose last aim is missed
+// already earns nothing by being early and goes last, until it has waited past the
+// operators' bound.
 func (p *Planner) Order(now time.Time, live []*jobs.Job, room Room) []Entry {
 	var guaranteed []*jobs.Job
 	for _, j := range live {
@@ -241,6 +255,9 @@
 	for _, j := range live {
 		e := Entry{Job: j, PerTask: p.PerTask(j), Work: p.Work(j, now), Planned: planned[j], Within: within[j]}
 		age := now.Sub(j.Submitted)
+		next, any := p.nextStart(now, j, e.PerTask)
+		start := firstAfter(p.waitBy[j.Class], age)
+		srt := e.Work / max(room.CPUs, 1)
 		switch {
 		case j.Service:
 			e.rank, e.key, e.Hold = rankService, -float64(j.Priority), true
@@ -248,11 +265,16 @@
 			e.rank, e.key, e.Hold = rankPlanned, Due(j).Sub(now).Seconds(), true
 		case e.Within:
 			e.rank, e.key, e.Hold = rankWithin, -age.Seconds(), true
-		case age > p.bound(j):
+		case age > p.opt.AgeBound:
 			e.rank, e.key, e.Hold = rankAged, -age.Seconds(), true
+		case any && next == 0:
+			e.rank, e.key = rankMissed, srt
+		case start > 0 && age > start/2:
+			// More than half of the time in which its tasks are to start is gone.
+			e.rank, e.key, e.Hold = rankAged, (start - age).Seconds(), true
 		default:
-			// Ageing within the bound: every second of waiting takes one off.
-			e.rank, e.key = rankRest, e.Work/max(room.CPUs, 1)-age.Seconds()/p.bound(j).Seconds()
+			// Ageing within the bound: waiting makes the remaining time count less.
+			e.rank, e.key = rankRest, srt-age.Seconds()/p.opt.AgeBound.Seconds()
 		}
 		list = append(list, e)
 	}
@@ -269,15 +291,37 @@
 	return list
 }
 
-// bound is the wait after which a best-effort job goes before younger ones: half of what
-// its class is aimed to wait, or what is left of the aim for finishing, if that is less
-// than the operators' bound.
-func (p *Planner) bound(j *jobs.Job) time.Duration {
-	b := p.opt.AgeBound
-	if w, ok := p.waitBy[j.Class]; ok {
-		b = min(b, w/2)
+// firstAfter is the first of the sorted aims that lies after age, or 0.
+func firstAfter(aims []time.Duration, age time.Duration) time.Duration {
+	for _, a := range aims {
+		if a > age {
+			return a
+		}
+	}
+	return 0
+}
+
+// nextStart is the wait at which all tasks of the job have to be started for the next of
+// its aims that can still be kept; 0 if all are missed, and false if it never had one.
+func (p *Planner) nextStart(now time.Time, j *jobs.Job, perTask time.Duration) (time.Duration, bool) {
+	age := now.Sub(j.Submitted)
+	best, any := time.Duration(0), false
+	consider := func(by time.Duration) {
+		any = true
+		if by > age && (best == 0 || by < best) {
+			best = by
+		}
+	}
+	for _, w := range p.waitBy[j.Class] {
+		consider(w)
+	}
+	for _, d := range p.doneBy[j.Class] {
+		consider(d - perTask)
+	}
+	if j.Deadline > 0 {
+		consider(j.Deadline - perTask)
 	}
-	return max(b, time.Second)
+	return best, any
 }
 
 // within marks the jobs that fit into their team's guarantee together with the team's
