--- a/internal/node/sizing.go
+++ b/internal/node/sizing.go
@@ -16,10 +16,15 @@
 	price float64
 }
 
+// serving is how long a rented machine is expected to be of use.
+const serving = 3 * time.Minute
+
 func (n *Node) options() []option {
 	var list []option
 	for _, t := range n.lead.cloud.Types {
 		size := max(t.CPUs, t.Cards*8, 0.1)
+		// A machine is paid for while it boots: spread over the time it is likely to serve.
+		size *= serving.Seconds() / (serving + t.Boot()).Seconds()
 		for _, z := range t.Zones {
 			list = append(list, option{kindOf(t, z, false), t, t.Price / size}, option{kindOf(t, z, true), t, t.SpotPrice / size})
 		}
@@ -97,7 +102,7 @@
 			}
 			// The dearer a machine, the longer must the work last that it shortens.
 			worth := n.opt.Backlog.Seconds() * o.price / cheapest / 3
-			for want > 0 && asked[o.kind] < 50 && (e.Planned || e.Within || total > have*worth) {
+			for want > 0 && asked[o.kind] < 50 && total > have*worth {
 				asked[o.kind]++
 				have += o.typ.CPUs
 				m := virtual(o.kind, o.typ)
