--- a/internal/node/users.go
+++ b/internal/node/users.go
@@ -24,6 +24,8 @@
 	// comeBack is when a user is told to try again after a refusal for want of a leader
 	// or of the state service.
 	comeBack = time.Second
+	// growth is how many machines of a kind the plan counts on beyond those that are there.
+	growth = 4
 	// mostPending bounds the submissions that wait for a commit.
 	mostPending = 400
 )
@@ -281,6 +283,16 @@
 	}
 	for _, t := range l.cloud.Types {
 		r.Machine = max(r.Machine, t.CPUs)
+		for _, z := range t.Zones {
+			for _, spot := range []bool{false, true} {
+				// Capacity is not published: a kind that was not refused lately is
+				// taken to have a few more.
+				if l.cloud.Askable(now, kindOf(t, z, spot)) {
+					r.Growth += growth * t.CPUs
+					r.Boot = max(r.Boot, t.Boot())
+				}
+			}
+		}
 	}
 	return r
 }
--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -100,8 +100,10 @@
 
 // Room is the fleet that the plan counts on.
 type Room struct {
-	CPUs    float64 // of all machines that can be had
-	Machine float64 // of the machine type that jobs are rounded up to
+	CPUs    float64       // of the machines that are there or booting
+	Machine float64       // of the machine type that jobs are rounded up to
+	Growth  float64       // CPUs that can still be rented, as far as is known
+	Boot    time.Duration // until rented machines serve
 }
 
 const horizon = 240 // terms that are planned at most
@@ -145,7 +147,11 @@
 		for len(s.held) <= t {
 			s.held = append(s.held, 0)
 		}
-		r := min(width, max(s.room.CPUs-s.held[t], 0), math.Ceil(work/span/max(j.CPUs, 0.1)-1e-9)*max(j.CPUs, 0.1))
+		cpus := s.room.CPUs
+		if time.Duration(t)*s.term >= s.room.Boot {
+			cpus += s.room.Growth
+		}
+		r := min(width, max(cpus-s.held[t], 0), math.Ceil(work/span/max(j.CPUs, 0.1)-1e-9)*max(j.CPUs, 0.1))
 		taken = append(taken, r)
 		work -= r * span
 	}
@@ -174,7 +180,7 @@
 		}
 	}
 	p.shares = append(keep, submission{now, j.Team, cpus})
-	if j.Deadline <= 0 || j.Service || share > p.opt.TeamShare*room.CPUs {
+	if j.Deadline <= 0 || j.Service || share > p.opt.TeamShare*(room.CPUs+room.Growth) {
 		return false
 	}
 	var list []*jobs.Job
