A machine no earlier leader used gets tasks with its first answer

Cause: a new machine had to show our token first, half a second later, although the roster proves that nobody gave it tasks.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -107,6 +107,7 @@
 	m     *workers.Machine
 	rep   *workers.Report
 	fresh bool // newer than all before, and made under our token
+	at    time.Time
 }
 
 // tickEvery is how often the owner looks at what is due.
--- a/internal/node/placing.go
+++ b/internal/node/placing.go
@@ -14,12 +14,20 @@
 	return fleet.Kind{Type: t.Name, Zone: zone, Spot: spot}
 }
 
+// enrolWait is how long a new machine's report may wait for its place on the roster.
+const enrolWait = 700 * time.Millisecond
+
 // answerReports answers the reports of this batch; what starts where is decided now.
 func (n *Node) answerReports(now time.Time) {
 	l := n.lead
 	list := l.reports
 	l.reports = nil
 	for _, p := range list {
+		if p.fresh && p.m.Enrolling && l.placing && now.Sub(p.at) < enrolWait {
+			// Its place on the roster is being written; with that it gets tasks at once.
+			l.reports = append(l.reports, p)
+			continue
+		}
 		// The same machine may have reported twice; only its newest report gets starts.
 		ans := workers.Answer{Token: l.token, Commands: []workers.Command{}}
 		if p.fresh {
--- a/internal/node/reports.go
+++ b/internal/node/reports.go
@@ -27,18 +27,23 @@
 		n.refuse(r, 503, "not now", 0)
 		return
 	}
+	known := l.fleet.Machines[rep.Machine] != nil
 	m := l.fleet.Machine(rep.Machine)
+	if l.built && !known {
+		m.Fresh = true
+	}
 	m.Answered = now
-	fresh := l.built && rep.Token == l.token && m.Newer(&rep)
+	fresh := l.built && (rep.Token == l.token || m.Fresh) && m.Newer(&rep)
 	if fresh {
 		// Only a worker that has seen our token is believed: what an earlier leader
 		// still sends it has no effect any more, and the report was made after that.
+		// The exception is a machine of which the roster says that it never had a task.
 		n.observe(now, m, &rep, true)
 	}
 	if l.built {
 		n.enrol(now, m, &rep)
 	}
-	l.reports = append(l.reports, pendingReport{r, m, &rep, fresh})
+	l.reports = append(l.reports, pendingReport{r, m, &rep, fresh, now})
 }
 
 // enrol writes down that the machine may hold tasks, before it gets any.
--- a/internal/workers/workers.go
+++ b/internal/workers/workers.go
@@ -25,6 +25,7 @@
 	UsedCards    float64
 	UsedMem      float64
 
+	Fresh     bool      // was not on the roster that this leadership took over: no earlier leader gave it tasks
 	Rostered  bool      // the ledger says that it may hold tasks
 	Enrolling bool      // that is on its way into the ledger
 	NoticeAt  time.Time // when the cloud takes it away; zero: no notice
