--- a/internal/node/sizing.go
+++ b/internal/node/sizing.go
@@ -80,6 +80,7 @@
 		return
 	}
 	cheapest := opts[0].price
+	n.shed(opts, total)
 	asked := map[fleet.Kind]int{}
 	for _, e := range l.order {
 		j := e.Job
@@ -100,8 +101,7 @@
 			if per == 0 || !place.KindAllowed(j, o.kind) || !l.cloud.Askable(now, o.kind) {
 				continue
 			}
-			// The dearer a machine, the longer must the work last that it shortens.
-			worth := n.opt.Backlog.Seconds() * o.price / cheapest / 3
+			worth := n.worth(o.price, cheapest)
 			for want > 0 && asked[o.kind] < 50 && total > have*worth {
 				asked[o.kind]++
 				have += o.typ.CPUs
@@ -118,6 +118,40 @@
 	}
 }
 
+// worth is how long, in seconds, the work at hand must last for a kind to be rented: the
+// dearer it is, the longer.
+func (n *Node) worth(price, cheapest float64) float64 {
+	return n.opt.Backlog.Seconds() * price / cheapest / 3
+}
+
+// surplus is the reason of machines that get nothing more because cheaper ones suffice.
+const surplus = "surplus"
+
+// shed stops to use the dearer kinds once the cheaper machines that are up would get
+// through the work well before the dearer ones were worth renting.
+func (n *Node) shed(opts []option, total float64) {
+	l := n.lead
+	up := map[fleet.Kind][]*workers.Machine{}
+	for _, m := range l.fleet.Machines {
+		if m.Up && (m.Draining == "" || m.Draining == surplus) {
+			up[place.Kind(m)] = append(up[place.Kind(m)], m)
+		}
+	}
+	cheaper := 0.0
+	for _, o := range opts {
+		spare := o.price > 1.5*opts[0].price && total < cheaper*n.worth(o.price, opts[0].price)/2
+		for _, m := range up[o.kind] {
+			cheaper += m.CPUs
+			switch {
+			case spare && m.Draining == "":
+				m.Draining = surplus
+			case !spare && m.Draining == surplus:
+				m.Draining = ""
+			}
+		}
+	}
+}
+
 func virtual(k fleet.Kind, t *fleet.Type) *workers.Machine {
 	return &workers.Machine{Type: k.Type, Zone: k.Zone, Spot: k.Spot, CPUs: t.CPUs, Cards: t.Cards, Mem: t.Mem}
 }
@@ -156,8 +190,8 @@
 			if now.Sub(m.Answered) > n.leaseEnd()+15*time.Second {
 				reason = "lost"
 			}
-		case m.Draining == "faulty" && len(m.Attempts) == 0:
-			reason = "faulty"
+		case (m.Draining == "faulty" || m.Draining == surplus) && len(m.Attempts) == 0:
+			reason = m.Draining
 		case m.Draining == "" && len(m.Attempts) == 0 && waiting == 0 && now.Sub(m.IdleSince) > n.opt.IdleAfter,
 			m.Draining == "" && len(m.Attempts) == 0 && now.Sub(m.IdleSince) > 3*n.opt.IdleAfter:
 			reason = "idle"
@@ -165,7 +199,7 @@
 		if reason == "" {
 			continue
 		}
-		if m != nil && m.Draining == "" {
+		if m != nil && (m.Draining == "" || m.Draining == surplus) {
 			m.Draining = "returned"
 		}
 		why[reason] = append(why[reason], id)
