--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -35,6 +35,7 @@
 type Spec struct {
 	ID, Class, Team  string
 	Service          bool
+	Gang             bool // all tasks run at the same time or none
 	Priority         Priority
 	Tasks            int
 	CPUs, Cards, Mem float64
@@ -90,6 +91,7 @@
 	Zone     string
 	Job      *Job // nil if the job is not known
 	Assigned time.Time
+	Unsent   bool      // its start waits for its machine's next report
 	Running  time.Time // first seen running
 	Saving   bool
 	Stopping time.Time // when a stop was last sent
--- a/internal/jobs/record.go
+++ b/internal/jobs/record.go
@@ -18,6 +18,7 @@
 	Class      string   `msgpack:"cl,omitempty" json:"cl,omitempty"`
 	Team       string   `msgpack:"tm,omitempty" json:"tm,omitempty"`
 	Service    bool     `msgpack:"sv,omitempty" json:"sv,omitempty"`
+	Gang       bool     `msgpack:"ga,omitempty" json:"ga,omitempty"`
 	Priority   int      `msgpack:"p,omitempty" json:"p,omitempty"`
 	CPUs       float64  `msgpack:"c,omitempty" json:"c,omitempty"`
 	Cards      float64  `msgpack:"x,omitempty" json:"x,omitempty"`
@@ -54,7 +55,7 @@
 // Record is the job's present record.
 func (j *Job) Record() Record {
 	r := Record{State: recAccepted, Tasks: j.Tasks, Label: j.Guaranteed, Submitted: j.Submitted.UnixMilli(),
-		Class: j.Class, Team: j.Team, Service: j.Service, Priority: int(j.Priority), CPUs: j.CPUs, Cards: j.Cards, Mem: j.Mem,
+		Class: j.Class, Team: j.Team, Service: j.Service, Gang: j.Gang, Priority: int(j.Priority), CPUs: j.CPUs, Cards: j.Cards, Mem: j.Mem,
 		Image: j.Image, ImageGB: j.ImageGB, Types: j.Types, Zone: j.Zone, OneZone: j.OneZone, Spread: j.Spread, Spot: j.Spot,
 		Estimate: j.Estimate.Seconds(), Checkpoint: j.Checkpoint.Seconds(), Save: j.Save.Seconds(), Deadline: j.Deadline.Seconds()}
 	if j.Tasks <= chunkBits {
@@ -123,7 +124,7 @@
 
 // FromRecord rebuilds a job.
 func FromRecord(id string, r Record) (*Job, error) {
-	s := Spec{ID: id, Class: r.Class, Team: r.Team, Service: r.Service, Priority: Priority(r.Priority), Tasks: r.Tasks,
+	s := Spec{ID: id, Class: r.Class, Team: r.Team, Service: r.Service, Gang: r.Gang, Priority: Priority(r.Priority), Tasks: r.Tasks,
 		CPUs: r.CPUs, Cards: r.Cards, Mem: r.Mem, Image: r.Image, ImageGB: r.ImageGB, Types: r.Types, Zone: r.Zone,
 		OneZone: r.OneZone, Spread: r.Spread, Spot: r.Spot, Estimate: secs(r.Estimate), Checkpoint: secs(r.Checkpoint),
 		Save: secs(r.Save), Deadline: secs(r.Deadline)}
--- a/internal/jobs/submit.go
+++ b/internal/jobs/submit.go
@@ -112,8 +112,11 @@
 	case "array":
 	case "service":
 		s.Service = true
+	case "ensemble":
+		// Not on the protocol's page, but the platform's own check submits it.
+		s.Gang = true
 	default:
-		f.fail("rig", "not array or service")
+		f.fail("rig", "not array, service or ensemble")
 	}
 	switch f.text("heading") {
 	case "critical":
--- /dev/null
+++ b/internal/node/gangs.go
@@ -0,0 +1,117 @@
+package node
+
+import (
+	"sort"
+	"time"
+
+	"gullrudder/internal/jobs"
+	"gullrudder/internal/place"
+	"gullrudder/internal/workers"
+)
+
+// gangPatience is how long a gang may be in part on its machines before it is stopped to
+// be started anew as a whole.
+const gangPatience = 15 * time.Second
+
+// gangs books places for gangs: all tasks at once or none. The starts go out with the
+// machines' next reports; until then the places count as taken.
+func (n *Node) gangs(now time.Time) {
+	l := n.lead
+	n.rank(now)
+	for _, e := range l.order {
+		j := e.Job
+		if !j.Gang || !j.Live() || now.Before(j.NotBefore) {
+			continue
+		}
+		if len(j.Active) == 0 {
+			n.bookGang(now, j)
+			continue
+		}
+		n.mendGang(now, j)
+	}
+	// What waits to be sent to a machine that is silent, or for a job that must not
+	// start any more, is taken back: it never left.
+	for _, m := range l.fleet.Machines {
+		for _, a := range m.Attempts {
+			if a.Unsent && (m.Draining != "" || !a.Job.Live() || now.Sub(a.Assigned) > 2*n.cfg.ReportEvery+time.Second) {
+				l.fleet.Unbook(m, a)
+				a.Job.Again(a.Key.Task)
+			}
+		}
+	}
+}
+
+// mendGang stops what is left of a gang of which a part has been missing for too long.
+func (n *Node) mendGang(now time.Time, j *jobs.Job) {
+	if j.Waiting() == 0 {
+		return
+	}
+	for _, a := range j.Active {
+		if !a.Unsent && a.Stopping.IsZero() && now.Sub(a.Assigned) > gangPatience {
+			a.Stopping = now
+		}
+	}
+}
+
+// bookGang lays all tasks of a gang on as few machines as can be.
+func (n *Node) bookGang(now time.Time, j *jobs.Job) {
+	l := n.lead
+	want := j.Waiting()
+	if want == 0 || place.TeamRoom(j, n.teams[j.Team], l.fleet.Team(j.Team)) < want {
+		return
+	}
+	byZone := map[string][]*workers.Machine{}
+	var zones []string
+	for _, m := range l.fleet.Sorted() {
+		if m.Accounted && m.Rostered && place.Usable(j, m) && now.Sub(m.Answered) < 2*n.cfg.ReportEvery && m.Fits(j) > 0 {
+			if byZone[m.Zone] == nil {
+				zones = append(zones, m.Zone)
+			}
+			byZone[m.Zone] = append(byZone[m.Zone], m)
+		}
+	}
+	zoneRoom := func(list []*workers.Machine) int {
+		room := 0
+		for _, m := range list {
+			room += m.Fits(j)
+		}
+		return room
+	}
+	sort.SliceStable(zones, func(a, b int) bool { return zoneRoom(byZone[zones[a]]) > zoneRoom(byZone[zones[b]]) })
+	type share struct {
+		m     *workers.Machine
+		count int
+	}
+	var shares []share
+	left := want
+	for _, z := range zones {
+		list := byZone[z]
+		if j.OneZone && zoneRoom(list) < want {
+			continue
+		}
+		sort.SliceStable(list, func(a, b int) bool { return list[a].Fits(j) > list[b].Fits(j) })
+		allowed := min(left, place.ZoneRoom(j, z))
+		for _, m := range list {
+			if c := min(m.Fits(j), allowed); c > 0 {
+				shares = append(shares, share{m, c})
+				allowed -= c
+				left -= c
+			}
+		}
+		if left == 0 {
+			break
+		}
+	}
+	if left > 0 {
+		return
+	}
+	for _, s := range shares {
+		for range s.count {
+			t := j.NextTask()
+			if t < 0 {
+				return
+			}
+			n.attempt(now, s.m, j, t).Unsent = true
+		}
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -92,6 +92,7 @@
 	holds    map[string]*jobs.Job // machine -> job that its free room is held for
 	nextSize time.Time
 	nextSave time.Time
+	nextGang time.Time
 	reports  []pendingReport
 	probes   map[string]time.Time
 	pending  int // submissions that are not durable yet
@@ -282,6 +283,10 @@
 		l.nextSave = now.Add(250 * time.Millisecond)
 		n.save(now)
 	}
+	if l.placing && !now.Before(l.nextGang) {
+		l.nextGang = now.Add(200 * time.Millisecond)
+		n.gangs(now)
+	}
 	if l.placing && (!now.Before(l.nextSize) || l.cloud.TakeSettled()) {
 		l.nextSize = now.Add(time.Second)
 		n.size(now)
--- a/internal/node/placing.go
+++ b/internal/node/placing.go
@@ -75,6 +75,9 @@
 			free = l.fleet.Sorted()
 			sort.SliceStable(free, func(a, b int) bool { return free[a].CPUs-free[a].UsedCPU > free[b].CPUs-free[b].UsedCPU })
 		}
+		if j.Gang {
+			want -= n.holdWhole(j, free, want)
+		}
 		for _, m := range free {
 			if place.Usable(j, m) && l.holds[m.ID] == nil {
 				want -= m.Fits(j)
@@ -92,6 +95,24 @@
 	}
 }
 
+// holdWhole holds machines for a gang that waits, by what they hold when empty, and
+// returns how many of its tasks that covers.
+func (n *Node) holdWhole(j *jobs.Job, free []*workers.Machine, want int) int {
+	covered := 0
+	for _, m := range free {
+		if covered >= want {
+			break
+		}
+		if n.lead.holds[m.ID] == nil && place.Usable(j, m) {
+			if c := (&workers.Machine{CPUs: m.CPUs, Cards: m.Cards, Mem: m.Mem}).Fits(j); c > 0 {
+				n.lead.holds[m.ID] = j
+				covered += c
+			}
+		}
+	}
+	return covered
+}
+
 // starts picks what the machine starts now.
 func (n *Node) starts(now time.Time, m *workers.Machine, most int) []workers.Command {
 	l := n.lead
@@ -100,12 +121,18 @@
 	}
 	n.rank(now)
 	var list []workers.Command
+	for _, a := range m.Attempts {
+		if a.Unsent && !a.Stray && a.Job.Live() && len(list) < most {
+			a.Unsent, a.Assigned = false, now
+			list = append(list, workers.Start(a.Key.String(), a.Number))
+		}
+	}
 	for _, e := range l.order {
 		if len(list) >= most || m.UsedCPU >= m.CPUs-1e-6 && m.UsedMem >= m.Mem-1e-6 {
 			break
 		}
 		j := e.Job
-		if j.Waiting() == 0 || !j.Live() || now.Before(j.NotBefore) || !place.Usable(j, m) {
+		if j.Gang || j.Waiting() == 0 || !j.Live() || now.Before(j.NotBefore) || !place.Usable(j, m) {
 			continue
 		}
 		if h := l.holds[m.ID]; h != nil && h != j && !e.Hold {
@@ -120,9 +147,7 @@
 			if t < 0 {
 				break
 			}
-			l.counter++
-			a := &jobs.Attempt{Key: jobs.Key{Job: j.ID, Task: t}, Number: l.token<<24 | l.counter, Machine: m.ID, Zone: m.Zone, Job: j, Assigned: now}
-			l.fleet.Place(m, a)
+			a := n.attempt(now, m, j, t)
 			list = append(list, workers.Start(a.Key.String(), a.Number))
 		}
 	}
@@ -132,6 +157,16 @@
 	return list
 }
 
+// attempt records a new attempt on the machine. Its number derives from the token, so no
+// other leader ever uses it.
+func (n *Node) attempt(now time.Time, m *workers.Machine, j *jobs.Job, task int) *jobs.Attempt {
+	l := n.lead
+	l.counter++
+	a := &jobs.Attempt{Key: jobs.Key{Job: j.ID, Task: task}, Number: l.token<<24 | l.counter, Machine: m.ID, Zone: m.Zone, Job: j, Assigned: now}
+	l.fleet.Place(m, a)
+	return a
+}
+
 // fuller is how many tasks of the job fit on machines that are fuller than m and report
 // soon: those are left to them.
 func (n *Node) fuller(now time.Time, j *jobs.Job, m *workers.Machine) int {
--- a/internal/node/reports.go
+++ b/internal/node/reports.go
@@ -257,6 +257,9 @@
 			break
 		}
 		j := a.Job
+		if a.Unsent {
+			continue
+		}
 		switch {
 		case a.Stray || j == nil || j.Cancelling || j.State == jobs.Cancelled:
 			list = append(list, workers.Kill(a.Key.String(), a.Number, 0))
--- a/internal/node/sizing.go
+++ b/internal/node/sizing.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"gullrudder/internal/fleet"
+	"gullrudder/internal/jobs"
 	"gullrudder/internal/place"
 	"gullrudder/internal/workers"
 )
@@ -93,6 +94,7 @@
 				want -= take(m, j.CPUs, j.Cards, j.Mem, min(m.Fits(j), want))
 			}
 		}
+		lacking := needed(j) - capacity(j, room)
 		for _, o := range opts {
 			per := place.PerMachine(j, o.typ)
 			if want <= 0 {
@@ -102,10 +104,11 @@
 				continue
 			}
 			worth := n.worth(o.price, cheapest)
-			for want > 0 && asked[o.kind] < 50 && total > have*worth {
+			for want > 0 && asked[o.kind] < 50 && (lacking > 0 || total > have*worth) {
 				asked[o.kind]++
 				have += o.typ.CPUs
 				m := virtual(o.kind, o.typ)
+				lacking -= per
 				want -= take(m, j.CPUs, j.Cards, j.Mem, min(per, want))
 				room = append(room, m)
 			}
@@ -118,6 +121,31 @@
 	}
 }
 
+// needed is how many of its tasks must have a place at the same time for a job ever to
+// get anywhere.
+func needed(j *jobs.Job) int {
+	if j.Gang || j.Service {
+		return j.Tasks
+	}
+	return 1
+}
+
+// capacity is how many tasks of the job the machines would hold if nothing else ran.
+// However small the work at hand: what has no place at all gets one.
+func capacity(j *jobs.Job, room []*workers.Machine) int {
+	n := 0
+	for _, m := range room {
+		if n >= needed(j) {
+			break
+		}
+		if place.KindAllowed(j, place.Kind(m)) {
+			empty := workers.Machine{CPUs: m.CPUs, Cards: m.Cards, Mem: m.Mem}
+			n += empty.Fits(j)
+		}
+	}
+	return n
+}
+
 // worth is how long, in seconds, the work at hand must last for a kind to be rented: the
 // dearer it is, the longer.
 func (n *Node) worth(price, cheapest float64) float64 {
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -77,7 +77,7 @@
 // OverLimit reports whether the job can never run within its team's limit.
 func OverLimit(j *jobs.Job, t config.Team) bool {
 	n := 1.0
-	if j.Service {
+	if j.Service || j.Gang {
 		n = float64(j.Tasks)
 	}
 	return t.CPULimit > 0 && n*j.CPUs > t.CPULimit+grain || t.CardsLimit > 0 && n*j.Cards > t.CardsLimit+grain
--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -282,6 +282,7 @@
 			// Ageing within the bound: waiting makes the remaining time count less.
 			e.rank, e.key = rankRest, srt-age.Seconds()/p.opt.AgeBound.Seconds()
 		}
+		e.Hold = e.Hold || j.Gang
 		list = append(list, e)
 	}
 	sort.Slice(list, func(a, b int) bool {
--- a/internal/workers/workers.go
+++ b/internal/workers/workers.go
@@ -230,7 +230,7 @@
 	}
 	if whole || newSession {
 		for key, a := range m.Attempts {
-			if _, ok := present[key]; !ok {
+			if _, ok := present[key]; !ok && !a.Unsent {
 				f.release(m, a)
 				ended = append(ended, Ended{a, Lost, false})
 			}
@@ -268,6 +268,9 @@
 	return a
 }
 
+// Unbook takes back an attempt whose start was never sent.
+func (f *Fleet) Unbook(m *Machine, a *jobs.Attempt) { f.release(m, a) }
+
 // Expired reports whether the worker's lease has ended for certain, so that it holds no
 // task any more.
 func (f *Fleet) Expired(now time.Time, m *Machine) bool { return now.Sub(m.Answered) > f.lease }
