--- a/internal/node/gangs.go
+++ b/internal/node/gangs.go
@@ -105,13 +105,16 @@
 	if left > 0 {
 		return
 	}
+	n.log.Debug("gang booked", "job", j.ID, "tasks", want, "machines", len(shares))
+	// The workers bring the tasks of a gang together by their attempt number.
+	number := n.nextNumber()
 	for _, s := range shares {
 		for range s.count {
 			t := j.NextTask()
 			if t < 0 {
 				return
 			}
-			n.attempt(now, s.m, j, t).Unsent = true
+			n.attempt(now, s.m, j, t, number).Unsent = true
 		}
 	}
 }
--- a/internal/node/placing.go
+++ b/internal/node/placing.go
@@ -147,7 +147,7 @@
 			if t < 0 {
 				break
 			}
-			a := n.attempt(now, m, j, t)
+			a := n.attempt(now, m, j, t, n.nextNumber())
 			list = append(list, workers.Start(a.Key.String(), a.Number))
 		}
 	}
@@ -157,12 +157,17 @@
 	return list
 }
 
-// attempt records a new attempt on the machine. Its number derives from the token, so no
-// other leader ever uses it.
-func (n *Node) attempt(now time.Time, m *workers.Machine, j *jobs.Job, task int) *jobs.Attempt {
+// nextNumber is a new attempt number. It derives from the token, so no other leader ever
+// uses it.
+func (n *Node) nextNumber() uint64 {
+	n.lead.counter++
+	return n.lead.token<<24 | n.lead.counter
+}
+
+// attempt records a new attempt on the machine.
+func (n *Node) attempt(now time.Time, m *workers.Machine, j *jobs.Job, task int, number uint64) *jobs.Attempt {
 	l := n.lead
-	l.counter++
-	a := &jobs.Attempt{Key: jobs.Key{Job: j.ID, Task: task}, Number: l.token<<24 | l.counter, Machine: m.ID, Zone: m.Zone, Job: j, Assigned: now}
+	a := &jobs.Attempt{Key: jobs.Key{Job: j.ID, Task: task}, Number: number, Machine: m.ID, Zone: m.Zone, Job: j, Assigned: now}
 	l.fleet.Place(m, a)
 	return a
 }
--- a/internal/node/reports.go
+++ b/internal/node/reports.go
@@ -91,6 +91,9 @@
 			continue
 		}
 		l.stale = true
+		if e.Why != workers.WhyDone {
+			n.log.Debug("attempt ended", "task", a.Key, "attempt", a.Number, "machine", m.ID, "why", e.Why)
+		}
 		switch e.Why {
 		case workers.WhyDone:
 			m.Completed++
