--- /dev/null
+++ b/internal/config/config_test.go
@@ -0,0 +1,57 @@
+package config
+
+import (
+	"strings"
+	"testing"
+	"time"
+)
+
+const good = `{"host_name":"n0","public_addr":"10.0.0.1:80","peer_bind":"10.0.0.1:81","future":1,
+ "others":[{"host_name":"n1","addr":"10.0.0.2:81"}],"outside":{"cloud":"10.2.0.2:1","state":"10.2.0.1:2"},
+ "cluster":{"size":2,"zones":["a"],"teams":[{"name":"t"}],"workers":{"report_s":1,"lease_s":10,"cancel_s":30},
+ "state":{"rps":200,"write_rps":15,"value_kb":8,"txn_ops":12},"cloud":{"rps":2,"list_lag_s":3},
+ "quota":{"cpu":0.2,"ram_mb":98,"max_connections":900},"clock_error_ms":1000}}`
+
+func TestPlatformSettings(t *testing.T) {
+	p, err := Parse([]byte(good))
+	if err != nil || p.WorkerLease != 10*time.Second || p.ValueBytes != 8192 || p.Peers[0].Name != "n1" {
+		t.Fatalf("%+v, %v", p, err)
+	}
+	for name, edit := range map[string][2]string{
+		"host_name":                     {`"host_name":"n0",`, ``},
+		"public_addr":                   {`"10.0.0.1:80"`, `"nowhere"`},
+		"outside.state":                 {`,"state":"10.2.0.1:2"`, ``},
+		"cluster.workers.lease_s":       {`"lease_s":10`, `"lease_s":-1`},
+		"cluster.state.txn_ops":         {`"txn_ops":12`, `"txn_ops":0`},
+		"others[0].addr":                {`"10.0.0.2:81"`, `"x"`},
+		"cluster.teams[0].name":         {`{"name":"t"}`, `{}`},
+		"cluster.quota.max_connections": {`"max_connections":900`, `"max_connections":"many"`},
+	} {
+		text := strings.Replace(good, edit[0], edit[1], 1)
+		if _, err := Parse([]byte(text)); err == nil || !strings.Contains(err.Error(), name) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+}
+
+func TestOperatorsOptions(t *testing.T) {
+	o, err := ParseOptions([]byte("<gullrudder>\n <!-- ours -->\n <term>30</term>\n <age-bound>5m</age-bound>\n</gullrudder>"))
+	if err != nil || o.Term != 30*time.Second || o.AgeBound != 5*time.Minute || o.IdleAfter != DefaultOptions().IdleAfter {
+		t.Fatalf("%+v, %v", o, err)
+	}
+	for text, line := range map[string]string{
+		"<gullrudder>\n<turm>3</turm></gullrudder>":               "line 2",
+		"<gullrudder>\n\n<term>0</term></gullrudder>":             "line 3",
+		"<gullrudder>\n<term>soon</term></gullrudder>":            "line 2",
+		"<gullrudder><term>3</term>\n<term>4</term></gullrudder>": "line 2",
+		"<other/>":                        "line 1",
+		"<gullrudder>\n<term>3</term>":    "line 2",
+		"<gullrudder x=\"1\"/>":           "line 1",
+		"<gullrudder>\ntext</gullrudder>": "line 2",
+		"":                                "line 1",
+	} {
+		if _, err := ParseOptions([]byte(text)); err == nil || !strings.Contains(err.Error(), line) {
+			t.Errorf("%q: %v, want %s", text, err, line)
+		}
+	}
+}
--- /dev/null
+++ b/internal/httpwire/parse_test.go
@@ -0,0 +1,68 @@
+package httpwire
+
+import (
+	"errors"
+	"strings"
+	"testing"
+)
+
+func TestWhatBadRequestsGet(t *testing.T) {
+	for text, want := range map[string]int{
+		"GET /ready HTTP/1.1\r\n\r\n":                                            0,
+		"POST /work HTTP/1.1\r\nContent-Length: 0\r\nContent-Length: 0\r\n\r\n":  0,
+		"POST /work HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n":  400,
+		"POST /work HTTP/1.1\r\nContent-Length: -1\r\n\r\n":                      400,
+		"POST /work HTTP/1.1\r\nContent-Length: 0x10\r\n\r\n":                    400,
+		"POST /work HTTP/1.1\r\nContent-Length: 65537\r\n\r\n":                   413,
+		"POST /work HTTP/1.1\r\nContent-Length: 99999999999999999999\r\n\r\n":    413,
+		"POST /work HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n":              501,
+		"GET /ready HTTP/2.0\r\n\r\n":                                            400,
+		"GET  /ready HTTP/1.1\r\n\r\n":                                           400,
+		"GET ready HTTP/1.1\r\n\r\n":                                             400,
+		"GET /ready HTTP/1.1\r\nno colon\r\n\r\n":                                400,
+		"GET /ready HTTP/1.1\r\nName : x\r\n\r\n":                                400,
+		"GET /ready HTTP/1.1\n\n":                                                400,
+		"GET /" + strings.Repeat("a", MaxHead) + " HTTP/1.1\r\n\r\n":             431,
+		"GET / HTTP/1.1\r\n" + strings.Repeat("A: b\r\n", MaxHeaders+1) + "\r\n": 431,
+		"GET /" + strings.Repeat("b", MaxHead+10):                                431,
+	} {
+		_, _, err := Parse([]byte(text), false, MaxBody)
+		var f *Fault
+		got := 0
+		if errors.As(err, &f) {
+			got = f.Status
+		}
+		if got != want {
+			t.Errorf("%.60q: %d, want %d (%v)", text, got, want, err)
+		}
+	}
+}
+
+func TestMessagesArriveInPieces(t *testing.T) {
+	whole := AppendRequest(nil, "POST", "h", "/work", []byte("body"))
+	for i := range whole {
+		if m, _, err := Parse(whole[:i], false, MaxBody); m != nil || err != nil {
+			t.Fatalf("%d bytes: %v, %v", i, m, err)
+		}
+	}
+	m, n, err := Parse(append(whole, "GET"...), false, MaxBody)
+	if err != nil || m == nil || n != len(whole) || string(m.Body) != "body" {
+		t.Fatalf("%v, %d, %v", m, n, err)
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add([]byte("POST /work HTTP/1.1\r\nContent-Length: 2\r\n\r\nab"), false)
+	f.Add(AppendResponse(nil, 503, []byte("x"), 1500, true), true)
+	f.Add([]byte("HTTP/1.1 200\r\nContent-Length: 1\r\n\r\n"), true)
+	f.Add([]byte("\r\n\r\n"), false)
+	f.Fuzz(func(t *testing.T, raw []byte, response bool) {
+		m, n, err := Parse(raw, response, MaxBody)
+		if m != nil && (err != nil || n <= 0 || n > len(raw) || len(m.Body) > MaxBody) {
+			t.Fatalf("%d of %d bytes, body of %d, %v", n, len(raw), len(m.Body), err)
+		}
+		if m == nil && n != 0 {
+			t.Fatalf("no message of %d bytes", n)
+		}
+	})
+}
--- a/internal/jobs/record.go
+++ b/internal/jobs/record.go
@@ -66,15 +66,19 @@
 
 // Reserve is the most JSON bytes that the job's record may need while it lives.
 func (j *Job) Reserve() int {
-	raw, err := json.Marshal(j.Record())
-	if err != nil {
-		return 1 << 20
-	}
-	bits := 0
-	if j.Tasks <= chunkBits {
-		bits = (j.Tasks/8+1)*4/3 + 10
+	if j.reserve == 0 {
+		r := j.Record()
+		r.Bits, r.Label = "", true
+		raw, err := json.Marshal(r)
+		if err != nil {
+			return 1 << 20
+		}
+		j.reserve = len(raw)
+		if j.Tasks <= chunkBits {
+			j.reserve += (j.Tasks/8+1)*4/3 + 10
+		}
 	}
-	return len(raw) + bits
+	return j.reserve
 }
 
 // Chunk is the ledger entry for the results of some tasks of a very large array.
--- /dev/null
+++ b/internal/leader/leader_test.go
@@ -0,0 +1,184 @@
+package leader
+
+import (
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"time"
+
+	"gullrudder/internal/outbox"
+	"gullrudder/internal/packed"
+)
+
+const (
+	lease    = 2 * time.Second
+	promise1 = 2 * time.Second
+)
+
+type fixture struct {
+	t   *testing.T
+	e   *Election
+	now time.Time
+	box outbox.Box
+}
+
+func fresh(t *testing.T) *fixture {
+	now := time.Unix(1000, 0)
+	return &fixture{t: t, now: now, e: New(Options{Name: "a", Peers: []Peer{{"b", "b"}, {"c", "c"}}, Lease: lease, Promise: promise1,
+		Slack: 100 * time.Millisecond}, now, rand.New(rand.NewPCG(1, 1)), slog.New(slog.NewTextHandler(io.Discard, nil)))}
+}
+
+// tick lets time pass and returns the calls made.
+func (f *fixture) tick(d time.Duration) []outbox.Call {
+	f.now = f.now.Add(d)
+	f.e.Tick(f.now, &f.box)
+	return f.box.Take()
+}
+
+func body(t *testing.T, v any) []byte {
+	raw, err := packed.Marshal(v)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return raw
+}
+
+// answer settles the calls whose path begins with prefix and returns how many there were.
+func (f *fixture) answer(calls []outbox.Call, prefix string, status int, v any) int {
+	n := 0
+	for _, c := range calls {
+		if strings.HasPrefix(c.Path, prefix) {
+			n++
+			var raw []byte
+			if v != nil {
+				raw = body(f.t, v)
+			}
+			c.Done(f.now, outbox.Result{Status: status, Body: raw})
+		}
+	}
+	return n
+}
+
+func campaigns(calls []outbox.Call) bool {
+	for _, c := range calls {
+		if c.Method == "POST" && c.Path == "/leases" {
+			return true
+		}
+	}
+	return false
+}
+
+// elect makes the process leader; every other controller says that it does not lead.
+func (f *fixture) elect() {
+	calls := f.tick(0)
+	f.answer(calls, "/peer/inquiry", 200, InquiryAnswer{})
+	f.answer(calls, "/keys/", 404, map[string]int{"tide": 5})
+	calls = f.tick(100 * time.Millisecond)
+	if f.answer(calls, "/leases", 200, map[string]int{"permit": 3}) != 1 {
+		f.t.Fatal("no campaign")
+	}
+	if f.answer(f.box.Take(), "/commit", 200, map[string]int{"tide": 6}) != 1 {
+		f.t.Fatal("no claim")
+	}
+	if !f.e.Entitled(f.now) || f.e.Token() != 6 {
+		f.t.Fatalf("not elected: token %d", f.e.Token())
+	}
+}
+
+// A new process may have promised something before it ended: it does not campaign for one
+// promise window, unless every other controller tells it that it does not lead.
+func TestNewProcessKeepsAnOldPromise(t *testing.T) {
+	f := fresh(t)
+	calls := f.tick(0)
+	f.answer(calls, "/keys/", 404, map[string]int{"tide": 5})
+	for range 19 {
+		if calls = f.tick(100 * time.Millisecond); campaigns(calls) {
+			t.Fatalf("campaigns %v after its start", f.now.Sub(f.e.booted))
+		}
+		f.answer(calls, "/keys/", 404, map[string]int{"tide": 5})
+	}
+	if calls = f.tick(300 * time.Millisecond); !campaigns(calls) {
+		t.Error("does not campaign after the window")
+	}
+}
+
+// One controller that does not answer is enough to be bound.
+func TestOnePeerThatIsSilentBinds(t *testing.T) {
+	f := fresh(t)
+	calls := f.tick(0)
+	for _, c := range calls {
+		if c.Path == "/peer/inquiry" && c.Addr == "b" {
+			c.Done(f.now, outbox.Result{Status: 200, Body: body(t, InquiryAnswer{})})
+		}
+	}
+	f.answer(calls, "/keys/", 404, map[string]int{"tide": 5})
+	if campaigns(f.tick(200 * time.Millisecond)) {
+		t.Error("campaigns although one controller may rely on a promise")
+	}
+}
+
+// Who has promised does not campaign before the promise is over, counted from receipt.
+func TestPromiseForbidsToCampaign(t *testing.T) {
+	f := fresh(t)
+	calls := f.tick(0)
+	f.answer(calls, "/peer/inquiry", 200, InquiryAnswer{})
+	f.now = f.now.Add(10 * time.Millisecond)
+	if !f.e.HandleHello(f.now, Hello{Name: "b", Token: 4}).Promised {
+		t.Fatal("no promise")
+	}
+	f.answer(calls, "/keys/", 404, map[string]int{"tide": 5})
+	if f.e.HandleHello(f.now, Hello{Name: "b", Token: 4}).Promised {
+		t.Error("promises again although it knows that the key is gone")
+	}
+	for range 20 {
+		calls = f.tick(100 * time.Millisecond)
+		if campaigns(calls) {
+			t.Fatal("campaigns while bound")
+		}
+		f.answer(calls, "/keys/", 404, map[string]int{"tide": 5})
+	}
+	if !campaigns(f.tick(200 * time.Millisecond)) {
+		t.Error("does not campaign once free")
+	}
+}
+
+// Without the state service the entitlement ends one lease, less drift and slack, after
+// the last renewal was sent, unless every other controller has promised.
+func TestEntitlementNeedsEveryPromise(t *testing.T) {
+	for name, who := range map[string]string{"none": "", "one": "b", "all": "bc"} {
+		f := fresh(t)
+		f.elect()
+		end := f.now.Add(lease)
+		var held bool
+		for f.now.Before(end) {
+			calls := f.tick(50 * time.Millisecond)
+			for _, c := range calls {
+				if c.Path == "/peer/hello" && strings.Contains(who, c.Addr) {
+					c.Done(f.now, outbox.Result{Status: 200, Body: body(t, HelloAnswer{Promised: true})})
+				} else if c.Path == "/peer/hello" {
+					c.Done(f.now, outbox.Result{})
+				}
+			}
+			f.answer(calls, "/leases/3/touch", 503, nil)
+		}
+		held = f.e.Entitled(f.now)
+		if held != (name == "all") {
+			t.Errorf("%s promised: entitled %v a lease after the last renewal", name, held)
+		}
+	}
+}
+
+// A promise counts from when the request for it was sent, not from when its answer came.
+func TestPromiseCountsFromSending(t *testing.T) {
+	f := fresh(t)
+	f.elect()
+	calls := f.tick(50 * time.Millisecond)
+	sent := f.now
+	f.now = f.now.Add(600 * time.Millisecond)
+	f.answer(calls, "/peer/hello", 200, HelloAnswer{Promised: true})
+	if limit := sent.Add(promise1 - 100*time.Millisecond); f.e.EntitledUntil().After(limit) {
+		t.Errorf("entitled %v too long", f.e.EntitledUntil().Sub(limit))
+	}
+}
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -37,10 +37,9 @@
 )
 
 type entry struct {
-	raw     msgpack.RawMessage
-	size    int // JSON bytes of name and value, or the room reserved if that is more
-	encoded int
-	page    *page
+	raw  msgpack.RawMessage
+	size int // JSON bytes of name and value, or the room reserved if that is more
+	page *page
 }
 
 type page struct {
@@ -157,7 +156,6 @@
 			}
 		}
 		e := &entry{raw: raw, size: size + len(name) + entryFrame, page: p}
-		e.encoded = e.size
 		p.entries[name] = e
 		p.size += e.size
 		l.entries[name] = e
@@ -203,8 +201,7 @@
 	if err != nil {
 		return fmt.Errorf("entry %s: %w", name, err)
 	}
-	encoded := len(text) + len(name) + entryFrame
-	size := max(encoded, reserve+len(name)+entryFrame)
+	size := max(len(text), reserve) + len(name) + entryFrame
 	e := l.entries[name]
 	if e == nil {
 		p := l.room(size)
@@ -215,12 +212,28 @@
 		l.entries[name] = e
 		p.entries[name] = e
 	}
+	if e.page.size+size-e.size > l.opt.ValueBytes {
+		return fmt.Errorf("entry %s: grows to %d bytes, more than its page holds", name, size)
+	}
 	e.page.size += size - e.size
-	e.raw, e.size, e.encoded = raw, size, encoded
+	e.raw, e.size = raw, size
 	l.touch(now, e.page, urgent, then)
 	return nil
 }
 
+// Reserve makes sure that an entry that was loaded has its room: what is read back says
+// only how large it is, not how large it may come to be.
+func (l *Ledger) Reserve(name string, reserve int) {
+	e := l.entries[name]
+	if e == nil {
+		return
+	}
+	if size := reserve + len(name) + entryFrame; size > e.size {
+		e.page.size += size - e.size
+		e.size = size
+	}
+}
+
 // Drop removes an entry.
 func (l *Ledger) Drop(now time.Time, name string) {
 	e := l.entries[name]
--- /dev/null
+++ b/internal/ledger/ledger_test.go
@@ -0,0 +1,180 @@
+package ledger
+
+import (
+	"io"
+	"log/slog"
+	"testing"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"gullrudder/internal/outbox"
+	"gullrudder/internal/packed"
+)
+
+type value struct {
+	N int `msgpack:"n" json:"n"`
+}
+
+type fixture struct {
+	t   *testing.T
+	l   *Ledger
+	box outbox.Box
+	now time.Time
+}
+
+func loaded(t *testing.T) *fixture {
+	f := &fixture{t: t, now: time.Unix(1000, 0), l: New(Options{LeaderKey: "leader", ValueBytes: 1024, TxnOps: 4, WriteRate: 50},
+		7, slog.New(slog.NewTextHandler(io.Discard, nil)))}
+	f.l.Load(&f.box)
+	f.one().Done(f.now, f.result(200, map[string]any{"entries": []any{}, "has_next": false, "tide": 7}))
+	return f
+}
+
+func (f *fixture) result(status int, v any) outbox.Result {
+	raw, err := packed.Marshal(v)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	return outbox.Result{Status: status, Body: raw}
+}
+
+func (f *fixture) one() outbox.Call {
+	f.t.Helper()
+	calls := f.box.Take()
+	if len(calls) != 1 {
+		f.t.Fatalf("%d calls, want one", len(calls))
+	}
+	return calls[0]
+}
+
+func (f *fixture) flush() outbox.Call {
+	f.t.Helper()
+	f.now = f.now.Add(2 * time.Second)
+	f.l.Flush(f.now, &f.box)
+	return f.one()
+}
+
+type commit struct {
+	Guards []struct {
+		Path string `msgpack:"path"`
+		Mark uint64 `msgpack:"mark"`
+	} `msgpack:"guards"`
+	Apply []struct {
+		Write string    `msgpack:"write"`
+		Value pageValue `msgpack:"value"`
+	} `msgpack:"apply"`
+}
+
+func (f *fixture) parse(c outbox.Call) commit {
+	f.t.Helper()
+	raw, err := packed.Marshal(c.Body)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	var out commit
+	if err := msgpack.Unmarshal(raw, &out); err != nil {
+		f.t.Fatal(err)
+	}
+	return out
+}
+
+func (f *fixture) set(name string, n int, then func(time.Time, bool)) {
+	f.t.Helper()
+	if err := f.l.Set(f.now, name, value{n}, 0, true, then); err != nil {
+		f.t.Fatal(err)
+	}
+}
+
+// Every commit guards the leader's key and the mark of every page that it writes, so that
+// one that is executed after another leader's, or twice, changes nothing.
+func TestCommitGuardsLeaderAndPages(t *testing.T) {
+	f := loaded(t)
+	for round, mark := range []uint64{0, 20, 21} {
+		f.set("job-1", round, nil)
+		c := f.flush()
+		got := f.parse(c)
+		guards := map[string]uint64{}
+		for _, g := range got.Guards {
+			guards[g.Path] = g.Mark
+		}
+		if guards["leader"] != 7 {
+			t.Fatalf("round %d: the leader's key is not guarded by the token: %v", round, got.Guards)
+		}
+		for _, a := range got.Apply {
+			if g, ok := guards[a.Write]; !ok || g != mark {
+				t.Fatalf("round %d: page %s is guarded by %d (%v), want %d", round, a.Write, g, ok, mark)
+			}
+		}
+		c.Done(f.now, f.result(200, map[string]any{"tide": 20 + round}))
+	}
+}
+
+// After an unknown outcome the page is read back. If an earlier attempt with less in it
+// was executed, the change that came with the later one is not durable yet.
+func TestReadBackTellsAttemptsApart(t *testing.T) {
+	f := loaded(t)
+	f.set("job-1", 1, nil)
+	first := f.flush()
+	firstBody := f.parse(first)
+	first.Done(f.now, outbox.Result{})
+	// Not there: the first attempt may still be executed later.
+	f.one().Done(f.now, f.result(404, map[string]any{"tide": 8}))
+	durable := 0
+	f.set("job-2", 2, func(_ time.Time, ok bool) {
+		if ok {
+			durable++
+		}
+	})
+	second := f.flush()
+	second.Done(f.now, outbox.Result{})
+	// Now the first attempt was executed, and the second refused for its guard.
+	f.one().Done(f.now, f.result(200, map[string]any{"path": firstBody.Apply[0].Write, "value": firstBody.Apply[0].Value, "mark": 9}))
+	if durable != 0 {
+		t.Fatal("the second change is called durable although only the first attempt was executed")
+	}
+	third := f.flush()
+	got := f.parse(third)
+	if got.Guards[1].Mark != 9 || len(got.Apply[0].Value.Entries) != 2 {
+		t.Fatalf("the third attempt guards %d and holds %d entries, want 9 and 2", got.Guards[1].Mark, len(got.Apply[0].Value.Entries))
+	}
+	third.Done(f.now, f.result(200, map[string]any{"tide": 10}))
+	if durable != 1 {
+		t.Errorf("called durable %d times, want once", durable)
+	}
+}
+
+// A refusal by the guards means that somebody else leads.
+func TestConflictEndsTheLeadership(t *testing.T) {
+	f := loaded(t)
+	f.set("job-1", 1, func(_ time.Time, ok bool) {
+		if ok {
+			t.Error("called durable")
+		}
+	})
+	f.flush().Done(f.now, f.result(409, map[string]any{"failed": []string{"leader"}, "tide": 9}))
+	if !f.l.Lost() {
+		t.Error("goes on")
+	}
+}
+
+// Entries never leave their page, and no page outgrows what a value may hold.
+func TestPagesStayWithinTheirSize(t *testing.T) {
+	f := loaded(t)
+	for i := range 40 {
+		if err := f.l.Set(f.now, "job-"+string(rune('a'+i)), value{i}, 100, true, nil); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for _, p := range f.l.pages {
+		if p.size > 1024 {
+			t.Errorf("page %s: %d bytes", p.key, p.size)
+		}
+	}
+	if err := f.l.Set(f.now, "job-zz", value{1}, 2000, true, nil); err == nil {
+		t.Error("an entry larger than a page is taken")
+	}
+	if err := f.l.Set(f.now, "job-a", value{1}, 2000, true, nil); err == nil {
+		t.Error("an entry may outgrow its page")
+	}
+}
