Room reserved for an entry's growth survives saves and takeovers

Cause of the defect: each save and each load shrank an entry's reservation to its present size, so a page could have outgrown its value once results came in.

--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -111,6 +111,7 @@
 	done      []uint64
 	durable   []uint64
 	unsaved   []int
+	reserve   int
 	Active    map[int]*Attempt
 	retry     []int         // tasks to be started again
 	next      int           // tasks from here on were never tried
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -158,6 +158,28 @@
 	}
 }
 
+// After a takeover entries still have the room to grow that was reserved for them.
+func TestReservedRoomSurvivesATakeover(t *testing.T) {
+	f := loaded(t)
+	for _, name := range []string{"job-1", "job-2", "job-3"} {
+		if err := f.l.Set(f.now, name, value{1}, 250, true, nil); err != nil {
+			t.Fatal(err)
+		}
+	}
+	got := f.parse(f.flush())
+	next := loaded(t)
+	next.l.install(got.Apply[0].Write, 8, got.Apply[0].Value)
+	for _, name := range []string{"job-1", "job-2", "job-3"} {
+		next.l.Reserve(name, 250)
+	}
+	if err := next.l.Set(next.now, "job-4", value{1}, 250, true, nil); err != nil {
+		t.Fatal(err)
+	}
+	if next.l.entries["job-4"].page == next.l.entries["job-1"].page {
+		t.Error("a new entry was put into room that is reserved")
+	}
+}
+
 // Entries never leave their page, and no page outgrows what a value may hold.
 func TestPagesStayWithinTheirSize(t *testing.T) {
 	f := loaded(t)
--- a/internal/node/reports.go
+++ b/internal/node/reports.go
@@ -207,7 +207,7 @@
 			}
 		}
 		if chunks == nil {
-			err = l.ledger.Set(now, j.ID, j.Record(), 0, false, durable)
+			err = l.ledger.Set(now, j.ID, j.Record(), j.Reserve(), false, durable)
 		}
 		for name, c := range chunks {
 			if e := l.ledger.Set(now, name, c, jobs.ChunkReserve, false, durable); e != nil {
--- a/internal/node/takeover.go
+++ b/internal/node/takeover.go
@@ -95,6 +95,10 @@
 		}
 	}
 	for _, j := range l.jobs {
+		l.ledger.Reserve(j.ID, j.Reserve())
+		for c := range j.Chunks() {
+			l.ledger.Reserve(j.ChunkName(c), jobs.ChunkReserve)
+		}
 		n.finish(now, j)
 	}
 	l.built, l.stale = true, true
