--- a/internal/standin/cloud.go
+++ b/internal/standin/cloud.go
@@ -368,7 +368,7 @@
 		return
 	}
 	m.w.At(there, func() {
-		m.w.request(host, false, "POST", "/v1/report", raw, func(status int, body any) {
+		there := m.w.request(host, false, "POST", "/v1/report", raw, func(status int, body any) {
 			back, ok := m.w.travel(host, m.id)
 			if !ok {
 				return
@@ -382,6 +382,10 @@
 				})
 			})
 		})
+		if !there && m.flight == id && m.busy {
+			m.flight++
+			next()
+		}
 	})
 }
 
@@ -470,6 +474,7 @@
 	}
 	t := &onMachine{key: key, attempt: c.Attempt, state: workers.StateFetching}
 	m.tasks[c.Task] = t
+	m.w.model.began(m, t)
 	if m.w.Rng.IntN(60) == 0 {
 		m.exit(t, workers.WhyNoRoom, false)
 		return
--- a/internal/standin/model.go
+++ b/internal/standin/model.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"fmt"
 	"time"
 
 	"gullrudder/internal/jobs"
@@ -11,6 +12,7 @@
 	w     *World
 	jobs  map[string]*modelJob
 	where map[jobs.Key][]*machine
+	tries map[uint64]string // attempt -> task and machine
 	Ran   int
 }
 
@@ -26,7 +28,7 @@
 }
 
 func newModel(w *World) *model {
-	return &model{w: w, jobs: map[string]*modelJob{}, where: map[jobs.Key][]*machine{}}
+	return &model{w: w, jobs: map[string]*modelJob{}, where: map[jobs.Key][]*machine{}, tries: map[uint64]string{}}
 }
 
 func (m *model) runTime(k jobs.Key) time.Duration {
@@ -47,6 +49,15 @@
 	return h.alive() && m.w.Now.Sub(h.granted) <= m.w.Opt.Lease
 }
 
+// began is called when a worker takes a start command. No attempt number is used twice,
+// not by another leader either (but by the tasks of a gang, of which there are none here).
+func (m *model) began(h *machine, t *onMachine) {
+	if before, ok := m.tries[t.attempt]; ok {
+		m.w.breakRule("attempt %d of %s on %s was used before: %s", t.attempt, t.key, h.id, before)
+	}
+	m.tries[t.attempt] = fmt.Sprintf("%s on %s", t.key, h.id)
+}
+
 // on is called when a task is on its machine: it has its image.
 func (m *model) on(h *machine, t *onMachine) {
 	m.Ran++
--- a/internal/standin/rules_test.go
+++ b/internal/standin/rules_test.go
@@ -10,6 +10,8 @@
 	"pgregory.net/rapid"
 
 	"gullrudder/internal/config"
+	"gullrudder/internal/packed"
+	"gullrudder/internal/workers"
 )
 
 func quiet() *slog.Logger {
@@ -48,6 +50,56 @@
 	}
 }
 
+// A report that was held up shows a machine without the tasks that an earlier leader has
+// started since. A new leader must not believe it: the worker has not seen its token.
+func TestNewLeaderDoesNotBelieveAnEarlierReport(t *testing.T) {
+	w := New(5, options(), quiet())
+	for i := range 20 {
+		w.At(time.Duration(i)*500*time.Millisecond, func() {
+			w.Users.Submit()
+			for _, j := range w.model.jobs {
+				j.run = 30 * time.Second // so that much is running when the leader ends
+			}
+		})
+	}
+	w.Run(20 * time.Second)
+	first, last := w.State.leader(), ""
+	for i := range w.Opt.Nodes {
+		if nodeName(i) == first || last != "" {
+			w.Crash(i, time.Minute)
+		} else {
+			last = nodeName(i)
+		}
+	}
+	// For a while the new leader hears nothing but what was held up.
+	for _, m := range w.Cloud.running() {
+		w.Cut(last, m.id, 4500*time.Millisecond)
+	}
+	stale := func() {
+		for _, m := range w.Cloud.running() {
+			raw, err := packed.Marshal(workers.Report{Machine: m.id, Addr: m.id, Type: m.flavor.Name, Zone: m.zone, Spot: m.spot,
+				Session: 1, Seq: 1, Tasks: []workers.TaskReport{}})
+			if err != nil {
+				t.Fatal(err)
+			}
+			w.request(last, false, "POST", "/v1/report", raw, func(int, any) {})
+		}
+	}
+	for i := range 2000 {
+		w.At(time.Duration(i)*5*time.Millisecond, stale)
+	}
+	w.Run(9 * time.Minute)
+	if len(w.Broken) > 0 {
+		t.Fatal(w.Broken)
+	}
+	if n := w.Users.Unfinished(); n > 0 {
+		t.Errorf("%d jobs unfinished", n)
+	}
+	if now := w.State.leader(); now == first || now == "" {
+		t.Errorf("no takeover: %q led and leads", now)
+	}
+}
+
 // trouble is one thing that goes wrong; rapid shrinks a list of them.
 type trouble struct {
 	at, span   time.Duration
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -11,6 +11,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"gullrudder/internal/jobs"
+	"gullrudder/internal/leader"
 	"gullrudder/internal/packed"
 )
 
@@ -299,3 +300,18 @@
 	}
 	return nil, fmt.Errorf("job %s is in no page", id)
 }
+
+// leader names the controller that holds the leader's key, if any does.
+func (s *StateService) leader() string {
+	k := s.keys[leader.Key]
+	if k == nil {
+		return ""
+	}
+	var v struct {
+		Name string `msgpack:"name"`
+	}
+	if msgpack.Unmarshal(k.value, &v) != nil {
+		return ""
+	}
+	return v.Name
+}
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -287,15 +287,18 @@
 	})
 }
 
-// request brings a request to a controller.
-func (w *World) request(name string, peer bool, method, path string, body []byte, answer func(int, any)) {
+// request brings a request to a controller. False: no process is there, and the
+// connection is refused.
+func (w *World) request(name string, peer bool, method, path string, body []byte, answer func(int, any)) bool {
 	for _, c := range w.nodes {
 		if c.cfg.Name != name || c.node == nil {
 			continue
 		}
 		reply := func(r node.Reply) { answer(r.Status, encoded(r.Body)) }
 		w.deliver(c, node.Command{Request: &node.Request{Ref: reply, Peer: peer, Method: method, Target: path, Body: body}})
+		return true
 	}
+	return false
 }
 
 // encoded is a body that is encoded already.
