--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -93,6 +93,7 @@
 	nextSize time.Time
 	nextSave time.Time
 	nextGang time.Time
+	nextDrop time.Time
 	reports  []pendingReport
 	probes   map[string]time.Time
 	pending  int // submissions that are not durable yet
@@ -276,6 +277,10 @@
 	if !l.placing {
 		n.account(now)
 	}
+	if !now.Before(l.nextDrop) {
+		l.nextDrop = now.Add(500 * time.Millisecond)
+		n.dropSilent(now)
+	}
 	if now.Sub(l.ordered) > 500*time.Millisecond {
 		l.stale = true
 	}
--- a/internal/node/sizing.go
+++ b/internal/node/sizing.go
@@ -192,6 +192,33 @@
 	return count
 }
 
+const silent = "silent"
+
+// dropSilent deletes machines whose workers have stopped to report: the cloud's answer
+// tells that their tasks are gone well before their leases do. Where many fall silent at
+// once it is rather we who cannot be reached, and the leases decide.
+func (n *Node) dropSilent(now time.Time) {
+	l := n.lead
+	var ids []string
+	known := 0
+	for id, m := range l.fleet.Machines {
+		if !m.Up && !m.Rostered || m.Draining == silent || m.Draining == "returned" {
+			continue
+		}
+		known++
+		if now.Sub(m.Answered) > 3*n.cfg.ReportEvery+3*time.Second {
+			ids = append(ids, id)
+		}
+	}
+	if len(ids) == 0 || len(ids)*3 > known {
+		return
+	}
+	for _, id := range ids {
+		l.fleet.Machines[id].Draining = silent
+	}
+	l.cloud.Return(now, ids, silent)
+}
+
 // giveBack returns machines that are idle, faulty, failed, never up or lost.
 func (n *Node) giveBack(now time.Time) {
 	l := n.lead
