--- a/internal/config/options.go
+++ b/internal/config/options.go
@@ -14,16 +14,15 @@
 
 // Options are the operators' own settings. docs/operations.md describes each.
 type Options struct {
-	Term           time.Duration // length of a planning step
-	SubmitLease    time.Duration // span over which a team's share is counted
-	TeamShare      float64       // share of the fleet that a team may submit per lease, best effort beyond it
-	AgeBound       time.Duration // a best-effort job older than this goes before younger ones
-	PayoffStep     time.Duration // lateness that costs a job one payoff step
-	IdleAfter      time.Duration // an idle machine is returned after this
-	Backlog        time.Duration // work waiting longer than this justifies dearer machines
-	LeaderLease    time.Duration // life of the leader's key without renewal
-	Promise        time.Duration // length of a promise between controllers
-	PreemptMinimum time.Duration // a task younger than this is stopped first
+	Term        time.Duration // length of a planning step
+	SubmitLease time.Duration // span over which a team's share is counted
+	TeamShare   float64       // share of the fleet that a team may submit per lease, best effort beyond it
+	AgeBound    time.Duration // a best-effort job older than this goes before younger ones
+	PayoffStep  time.Duration // lateness that costs a job one payoff step
+	IdleAfter   time.Duration // an idle machine is returned after this
+	Backlog     time.Duration // work waiting longer than this justifies dearer machines
+	LeaderLease time.Duration // life of the leader's key without renewal
+	Promise     time.Duration // length of a promise between controllers
 }
 
 // DefaultOptions are used where the file says nothing.
@@ -32,7 +31,7 @@
 		Term: 15 * time.Second, SubmitLease: 15 * time.Second, TeamShare: 4,
 		AgeBound: 600 * time.Second, PayoffStep: 30 * time.Second,
 		IdleAfter: 12 * time.Second, Backlog: 150 * time.Second,
-		LeaderLease: 2 * time.Second, Promise: 2 * time.Second, PreemptMinimum: 20 * time.Second,
+		LeaderLease: 2 * time.Second, Promise: 2 * time.Second,
 	}
 }
 
@@ -59,16 +58,15 @@
 
 func optionFields() map[string]optionField {
 	return map[string]optionField{
-		"term":            durationField(time.Second, time.Hour, func(o *Options) *time.Duration { return &o.Term }),
-		"submit-lease":    durationField(time.Second, time.Hour, func(o *Options) *time.Duration { return &o.SubmitLease }),
-		"team-share":      {0.01, 1000, func(o *Options, v float64) { o.TeamShare = v }},
-		"age-bound":       durationField(time.Second, 24*time.Hour, func(o *Options) *time.Duration { return &o.AgeBound }),
-		"payoff-step":     durationField(time.Second, time.Hour, func(o *Options) *time.Duration { return &o.PayoffStep }),
-		"idle-after":      durationField(time.Second, time.Hour, func(o *Options) *time.Duration { return &o.IdleAfter }),
-		"backlog":         durationField(time.Second, time.Hour, func(o *Options) *time.Duration { return &o.Backlog }),
-		"leader-lease":    durationField(time.Second, time.Minute, func(o *Options) *time.Duration { return &o.LeaderLease }),
-		"promise":         durationField(time.Second, time.Minute, func(o *Options) *time.Duration { return &o.Promise }),
-		"preempt-minimum": durationField(0, time.Hour, func(o *Options) *time.Duration { return &o.PreemptMinimum }),
+		"term":         durationField(time.Second, time.Hour, func(o *Options) *time.Duration { return &o.Term }),
+		"submit-lease": durationField(time.Second, time.Hour, func(o *Options) *time.Duration { return &o.SubmitLease }),
+		"team-share":   {0.01, 1000, func(o *Options, v float64) { o.TeamShare = v }},
+		"age-bound":    durationField(time.Second, 24*time.Hour, func(o *Options) *time.Duration { return &o.AgeBound }),
+		"payoff-step":  durationField(time.Second, time.Hour, func(o *Options) *time.Duration { return &o.PayoffStep }),
+		"idle-after":   durationField(time.Second, time.Hour, func(o *Options) *time.Duration { return &o.IdleAfter }),
+		"backlog":      durationField(time.Second, time.Hour, func(o *Options) *time.Duration { return &o.Backlog }),
+		"leader-lease": durationField(time.Second, time.Minute, func(o *Options) *time.Duration { return &o.LeaderLease }),
+		"promise":      durationField(time.Second, time.Minute, func(o *Options) *time.Duration { return &o.Promise }),
 	}
 }
 
