--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -291,6 +291,7 @@
 	if l.placing && !now.Before(l.nextGang) {
 		l.nextGang = now.Add(200 * time.Millisecond)
 		n.gangs(now)
+		n.makeRoom(now)
 	}
 	if l.placing && (!now.Before(l.nextSize) || l.cloud.TakeSettled()) {
 		l.nextSize = now.Add(time.Second)
