--- a/internal/node/preempt.go
+++ b/internal/node/preempt.go
@@ -12,15 +12,16 @@
 )
 
 // makeRoom stops best-effort tasks where a guaranteed job would otherwise miss its
-// deadline, or a team wait for its guarantee. Tasks that can save go first, then the
+// deadline. For a team's guarantee the protocol would allow it too; that was tried and
+// gained nothing, since stopping and saving take as long as waiting. Tasks that can save go first, then the
 // newest; the room is held for the job that it was made for.
 func (n *Node) makeRoom(now time.Time) {
 	l := n.lead
 	n.rank(now)
 	for _, e := range l.order {
 		j := e.Job
-		if !e.Planned && !e.Within {
-			break // the order has these first
+		if !e.Planned {
+			continue
 		}
 		want := min(j.Waiting(), place.TeamRoom(j, n.teams[j.Team], l.fleet.Team(j.Team)))
 		if want == 0 || j.Gang || !n.urgent(now, e) {
@@ -39,10 +40,7 @@
 
 // urgent reports whether waiting for room that comes free by itself would be too late.
 func (n *Node) urgent(now time.Time, e plan.Entry) bool {
-	if e.Planned {
-		return plan.Due(e.Job).Sub(now) < e.PerTask+2*n.cfg.ReportEvery+5*time.Second
-	}
-	return now.Sub(e.Job.Submitted) > time.Second
+	return plan.Due(e.Job).Sub(now) < e.PerTask+2*n.cfg.ReportEvery+5*time.Second
 }
 
 // leaving is how many tasks of the job fit into what is being stopped on the machine.
@@ -111,8 +109,5 @@
 		v.Checkpoint <= 0 || now.Sub(a.Running) < v.Save {
 		return false
 	}
-	if v.Priority < e.Job.Priority {
-		return true
-	}
-	return e.Within && v.Team != e.Job.Team && n.lead.fleet.Team(v.Team).CPUs > n.teams[v.Team].CPUs
+	return v.Priority < e.Job.Priority
 }
