--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -275,8 +275,8 @@
 			e.rank, e.key, e.Hold = rankAged, -age.Seconds(), true
 		case any && next == 0:
 			e.rank, e.key = rankMissed, srt
-		case start > 0 && age > start/3:
-			// More than half of the time in which its tasks are to start is gone.
+		case start > 0 && age > start*2/3:
+			// Two thirds of the time in which its tasks are to start are gone.
 			e.rank, e.key, e.Hold = rankAged, (start - age).Seconds(), true
 		default:
 			// Ageing within the bound: waiting makes the remaining time count less.
