--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -19,6 +19,7 @@
 	teams   map[string]config.Team
 	waitBy  map[string][]time.Duration // aims of a class for starting, earliest first
 	doneBy  map[string][]time.Duration // aims of a class for finishing, earliest first
+	covered time.Duration              // aim for starting what a team's guarantee covers; 0: none
 	classes map[string]*classStats
 	shares  []submission
 }
@@ -45,6 +46,8 @@
 		switch o.Kind {
 		case "wait":
 			pl.waitBy[o.Class] = append(pl.waitBy[o.Class], o.Within)
+		case "guarantee":
+			pl.covered = max(pl.covered, o.Within)
 		case "finished":
 			pl.doneBy[o.Class] = append(pl.doneBy[o.Class], o.Within)
 		}
@@ -235,6 +238,7 @@
 
 const (
 	rankService = iota
+	rankCovered
 	rankPlanned
 	rankWithin
 	rankAged
@@ -267,6 +271,9 @@
 		switch {
 		case j.Service:
 			e.rank, e.key, e.Hold = rankService, -float64(j.Priority), true
+		case e.Within && age < p.covered && !(e.Planned && Due(j).Sub(now) < 2*e.PerTask):
+			// It can still start in the time that the guarantee is aimed at.
+			e.rank, e.key, e.Hold = rankCovered, e.Work, true
 		case e.Planned:
 			e.rank, e.key, e.Hold = rankPlanned, Due(j).Sub(now).Seconds(), true
 		case e.Within:
