--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -238,8 +238,8 @@
 
 const (
 	rankService = iota
-	rankCovered
 	rankPlanned
+	rankCovered
 	rankWithin
 	rankAged
 	rankRest
@@ -271,11 +271,11 @@
 		switch {
 		case j.Service:
 			e.rank, e.key, e.Hold = rankService, -float64(j.Priority), true
-		case e.Within && age < p.covered && !(e.Planned && Due(j).Sub(now) < 2*e.PerTask):
-			// It can still start in the time that the guarantee is aimed at.
-			e.rank, e.key, e.Hold = rankCovered, e.Work, true
 		case e.Planned:
 			e.rank, e.key, e.Hold = rankPlanned, Due(j).Sub(now).Seconds(), true
+		case e.Within && age < p.covered:
+			// It can still start in the time that the guarantee is aimed at.
+			e.rank, e.key, e.Hold = rankCovered, e.Work, true
 		case e.Within:
 			e.rank, e.key, e.Hold = rankWithin, -age.Seconds(), true
 		case age > p.opt.AgeBound:
