--- a/internal/config/options.go
+++ b/internal/config/options.go
@@ -30,7 +30,7 @@
 	return Options{
 		Term: 15 * time.Second, SubmitLease: 15 * time.Second, TeamShare: 4,
 		AgeBound: 420 * time.Second, PayoffStep: 30 * time.Second,
-		IdleAfter: 12 * time.Second, Backlog: 100 * time.Second,
+		IdleAfter: 12 * time.Second, Backlog: 150 * time.Second,
 		LeaderLease: 2 * time.Second, Promise: 2 * time.Second,
 	}
 }
--- a/internal/node/sizing.go
+++ b/internal/node/sizing.go
@@ -149,8 +149,7 @@
 // worth is how long, in seconds, the work at hand must last for a kind to be rented: the
 // dearer it is, the longer.
 func (n *Node) worth(price, cheapest float64) float64 {
-	ratio := price / cheapest / 3
-	return n.opt.Backlog.Seconds() * max(ratio*ratio, 1.0/3)
+	return n.opt.Backlog.Seconds() * price / cheapest / 3
 }
 
 // surplus is the reason of machines that get nothing more because cheaper ones suffice.
