--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -20,8 +20,6 @@
 	CPUs      float64  `msgpack:"cpus"`
 	Cards     float64  `msgpack:"cards"`
 	Mem       float64  `msgpack:"mem_gb"`
-	CacheGB   float64  `msgpack:"local_gb"`
-	FetchRate float64  `msgpack:"fetch_gb_per_s"`
 	Price     float64  `msgpack:"hourly"`
 	SpotPrice float64  `msgpack:"low_price"`
 	BootS     float64  `msgpack:"ready_s"`
@@ -46,7 +44,6 @@
 	Listed   time.Time // when it was last in a list
 	Deleting bool      // a deletion is on its way
 	Up       bool      // its worker has reported
-	Asked    bool      // known from a rental answer of this leadership
 }
 
 // States in the list.
@@ -287,7 +284,7 @@
 				s.asking = false
 				for _, id := range a.Hosts {
 					if c.Hosts[id] == nil {
-						c.Hosts[id] = &Host{ID: id, Kind: k, Born: now, State: Starting, Asked: true}
+						c.Hosts[id] = &Host{ID: id, Kind: k, Born: now, State: Starting}
 					}
 				}
 				if len(a.Hosts) < n {
--- a/internal/httpwire/server.go
+++ b/internal/httpwire/server.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"log/slog"
 	"sync"
 	"time"
 
@@ -36,7 +35,6 @@
 	Idle         time.Duration // a connection with no request for this long is closed
 	Slow         time.Duration // a request has to be whole within this
 	Handle       func(*Request)
-	Log          *slog.Logger
 }
 
 // Server is the evio server of one controller.
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -124,9 +124,6 @@
 // Token is the token of the present leadership.
 func (e *Election) Token() uint64 { return e.token }
 
-// Since is when the present leadership began.
-func (e *Election) Since() time.Time { return e.since }
-
 // Leader names the controller that leads, as far as is known: empty if not freshly heard of.
 func (e *Election) Leader(now time.Time) string {
 	if e.Entitled(now) {
--- a/internal/node/reports.go
+++ b/internal/node/reports.go
@@ -96,7 +96,6 @@
 		}
 		switch e.Why {
 		case workers.WhyDone:
-			m.Completed++
 			if !a.Running.IsZero() {
 				l.planner.Learn(j, now.Sub(a.Running))
 			}
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -69,7 +69,7 @@
 func (rt *Runtime) listen() {
 	server := httpwire.NewServer(httpwire.ServerOptions{Public: rt.cfg.Public, Peer: rt.cfg.PeerBind,
 		MaxConns: max(rt.cfg.Connections*3/4, 8), Idle: 75 * time.Second, Slow: 10 * time.Second,
-		Handle: rt.handle, Log: rt.log})
+		Handle: rt.handle})
 	for {
 		err := server.Run()
 		rt.log.Error("the server stopped and is started again", "error", err)
--- a/internal/workers/workers.go
+++ b/internal/workers/workers.go
@@ -18,8 +18,6 @@
 	Up           bool      // has reported to this leadership
 	Accounted    bool      // its tasks are known to this leadership
 	Answered     time.Time // when we last sent it a 200
-	Heard        time.Time
-	FirstHeard   time.Time
 	Attempts     map[jobs.Key]*jobs.Attempt
 	UsedCPU      float64
 	UsedCards    float64
@@ -33,13 +31,8 @@
 	IdleSince time.Time
 	RoomFrom  time.Time       // no start before this, after a refusal for room
 	Failed    map[string]bool // jobs that ended here with an error
-	Completed int
-	Images    map[string]bool // images that tasks here have had
 }
 
-// Free reports whether a task of the job fits besides the attempts here.
-func (m *Machine) Free(j *jobs.Job) bool { return m.Fits(j) > 0 }
-
 const grain = 1e-6
 
 // Fits is how many more tasks of the job the machine has room for.
@@ -113,7 +106,7 @@
 func (f *Fleet) Machine(id string) *Machine {
 	m := f.Machines[id]
 	if m == nil {
-		m = &Machine{ID: id, Attempts: map[jobs.Key]*jobs.Attempt{}, Failed: map[string]bool{}, Images: map[string]bool{}}
+		m = &Machine{ID: id, Attempts: map[jobs.Key]*jobs.Attempt{}, Failed: map[string]bool{}}
 		f.Machines[id] = m
 	}
 	return m
@@ -180,11 +173,11 @@
 // a response that is still on its way, so a task that it lacks is not gone.
 func (f *Fleet) Observe(now time.Time, m *Machine, r *Report, whole bool, find Lookup) []Ended {
 	if !m.Up {
-		m.Up, m.FirstHeard = true, now
+		m.Up = true
 		m.IdleSince = now
 	}
 	newSession := r.Session != m.Session
-	m.Session, m.Seq, m.Heard = r.Session, r.Seq, now
+	m.Session, m.Seq = r.Session, r.Seq
 	m.Addr, m.Type, m.Zone, m.Spot = r.Addr, r.Type, r.Zone, r.Spot
 	f.notice(now, m, r)
 	var ended []Ended
@@ -220,9 +213,6 @@
 		case StateRunning:
 			if a.Running.IsZero() {
 				a.Running = now
-				if a.Job != nil {
-					m.Images[a.Job.Image] = true
-				}
 			}
 		case StateSaving:
 			a.Saving = true
