Leader lease and promise 1.2 s; holds within limits, replicas always start again

Cause: submissions are late only in the gaps without a leader and in outages. Also: room is not held for tasks that their team's limit forbids, and a replica that ends by itself is started again.

--- a/internal/config/options.go
+++ b/internal/config/options.go
@@ -31,7 +31,7 @@
 		Term: 15 * time.Second, SubmitLease: 15 * time.Second, TeamShare: 4,
 		AgeBound: 420 * time.Second, PayoffStep: 30 * time.Second,
 		IdleAfter: 12 * time.Second, Backlog: 150 * time.Second,
-		LeaderLease: 2 * time.Second, Promise: 2 * time.Second,
+		LeaderLease: 1200 * time.Millisecond, Promise: 1200 * time.Millisecond,
 	}
 }
 
--- a/internal/node/placing.go
+++ b/internal/node/placing.go
@@ -67,8 +67,9 @@
 	var free []*workers.Machine
 	for _, e := range l.order {
 		j := e.Job
-		want := j.Waiting()
-		if !e.Hold || want == 0 || now.Before(j.NotBefore) {
+		// What the team's limit forbids needs no room.
+		want := min(j.Waiting(), place.TeamRoom(j, n.teams[j.Team], l.fleet.Team(j.Team)))
+		if !e.Hold || want == 0 || j.Gang && want < j.Waiting() || now.Before(j.NotBefore) {
 			continue
 		}
 		if free == nil {
--- a/internal/node/reports.go
+++ b/internal/node/reports.go
@@ -96,6 +96,9 @@
 		}
 		switch e.Why {
 		case workers.WhyDone:
+			if j.Service {
+				break // a replica runs until its job is cancelled: it is started again
+			}
 			if !a.Running.IsZero() {
 				l.planner.Learn(j, now.Sub(a.Running))
 			}
