One piece of code where several said the same; no change in behaviour

The next start of a job was computed where only 'none is left' was asked; the empty machine, the tasks that want room and the stand-in's machine type were each written several times; the order of tasks to stop compared what was the same for all.

--- a/internal/node/placing.go
+++ b/internal/node/placing.go
@@ -67,8 +67,7 @@
 	var free []*workers.Machine
 	for _, e := range l.order {
 		j := e.Job
-		// What the team's limit forbids needs no room.
-		want := min(j.Waiting(), place.TeamRoom(j, n.teams[j.Team], l.fleet.Team(j.Team)))
+		want := n.wanted(j)
 		if !e.Hold || want == 0 || j.Gang && want < j.Waiting() || now.Before(j.NotBefore) {
 			continue
 		}
@@ -96,6 +95,12 @@
 	}
 }
 
+// wanted is how many tasks of the job need room now: those that wait, less what the
+// team's limit forbids.
+func (n *Node) wanted(j *jobs.Job) int {
+	return min(j.Waiting(), place.TeamRoom(j, n.teams[j.Team], n.lead.fleet.Team(j.Team)))
+}
+
 // holdWhole holds machines for a gang that waits, by what they hold when empty, and
 // returns how many of its tasks that covers.
 func (n *Node) holdWhole(j *jobs.Job, free []*workers.Machine, want int) int {
@@ -105,7 +110,7 @@
 			break
 		}
 		if n.lead.holds[m.ID] == nil && place.Usable(j, m) {
-			if c := (&workers.Machine{CPUs: m.CPUs, Cards: m.Cards, Mem: m.Mem}).Fits(j); c > 0 {
+			if c := m.Holds(j); c > 0 {
 				n.lead.holds[m.ID] = j
 				covered += c
 			}
--- a/internal/node/preempt.go
+++ b/internal/node/preempt.go
@@ -13,8 +13,8 @@
 
 // makeRoom stops best-effort tasks where a guaranteed job would otherwise miss its
 // deadline. For a team's guarantee the protocol would allow it too; that was tried and
-// gained nothing, since stopping and saving take as long as waiting. Tasks that can save go first, then the
-// newest; the room is held for the job that it was made for.
+// gained nothing, since stopping and saving take as long as waiting. Only tasks that save
+// are stopped; the room is held for the job that it was made for.
 func (n *Node) makeRoom(now time.Time) {
 	l := n.lead
 	n.rank(now)
@@ -23,7 +23,7 @@
 		if !e.Planned {
 			continue
 		}
-		want := min(j.Waiting(), place.TeamRoom(j, n.teams[j.Team], l.fleet.Team(j.Team)))
+		want := n.wanted(j)
 		if want == 0 || j.Gang || !n.urgent(now, e) {
 			continue
 		}
@@ -33,7 +33,7 @@
 			}
 		}
 		if want > 0 {
-			n.stopFor(now, e, want)
+			n.stopFor(now, j, want)
 		}
 	}
 }
@@ -57,9 +57,9 @@
 	return int(cpus / j.CPUs)
 }
 
-func (n *Node) stopFor(now time.Time, e plan.Entry, want int) {
+// stopFor stops the newest of the tasks that may be stopped for the job.
+func (n *Node) stopFor(now time.Time, j *jobs.Job, want int) {
 	l := n.lead
-	j := e.Job
 	type victim struct {
 		m *workers.Machine
 		a *jobs.Attempt
@@ -70,16 +70,13 @@
 			continue
 		}
 		for _, a := range m.Attempts {
-			if n.yields(now, a, e) {
+			if yields(now, a, j) {
 				list = append(list, victim{m, a})
 			}
 		}
 	}
 	sort.Slice(list, func(x, y int) bool {
 		a, b := list[x].a, list[y].a
-		if sa, sb := a.Job.Checkpoint > 0, b.Job.Checkpoint > 0; sa != sb {
-			return sa
-		}
 		if !a.Assigned.Equal(b.Assigned) {
 			return a.Assigned.After(b.Assigned)
 		}
@@ -103,11 +100,11 @@
 
 // yields reports whether the rules for preemption allow to stop the attempt for the job,
 // and whether little is lost by it: it saves.
-func (n *Node) yields(now time.Time, a *jobs.Attempt, e plan.Entry) bool {
+func yields(now time.Time, a *jobs.Attempt, j *jobs.Job) bool {
 	v := a.Job
 	if v == nil || a.Stray || a.Unsent || !a.Stopping.IsZero() || a.Running.IsZero() || v.Gang || v.Service || v.Guaranteed ||
 		v.Checkpoint <= 0 || now.Sub(a.Running) < v.Save {
 		return false
 	}
-	return v.Priority < e.Job.Priority
+	return v.Priority < j.Priority
 }
--- a/internal/node/sizing.go
+++ b/internal/node/sizing.go
@@ -85,7 +85,7 @@
 	asked := map[fleet.Kind]int{}
 	for _, e := range l.order {
 		j := e.Job
-		want := min(j.Waiting(), place.TeamRoom(j, n.teams[j.Team], l.fleet.Team(j.Team)))
+		want := n.wanted(j)
 		for _, m := range room {
 			if want <= 0 {
 				break
@@ -139,8 +139,7 @@
 			break
 		}
 		if place.KindAllowed(j, place.Kind(m)) {
-			empty := workers.Machine{CPUs: m.CPUs, Cards: m.Cards, Mem: m.Mem}
-			n += empty.Fits(j)
+			n += m.Holds(j)
 		}
 	}
 	return n
--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -265,7 +265,6 @@
 	for _, j := range live {
 		e := Entry{Job: j, PerTask: p.PerTask(j), Work: p.Work(j, now), Planned: planned[j], Within: within[j]}
 		age := now.Sub(j.Submitted)
-		next, any := p.nextStart(now, j, e.PerTask)
 		start := firstAfter(p.waitBy[j.Class], age)
 		srt := e.Work / max(room.CPUs, 1)
 		switch {
@@ -280,7 +279,7 @@
 			e.rank, e.key, e.Hold = rankWithin, -age.Seconds(), true
 		case age > p.opt.AgeBound:
 			e.rank, e.key, e.Hold = rankAged, -age.Seconds(), true
-		case any && next == 0:
+		case p.missed(j, age, e.PerTask):
 			e.rank, e.key = rankMissed, srt
 		case start > 0 && age > start*2/3:
 			// Two thirds of the time in which its tasks are to start are gone.
@@ -315,27 +314,15 @@
 	return 0
 }
 
-// nextStart is the wait at which all tasks of the job have to be started for the next of
-// its aims that can still be kept; 0 if all are missed, and false if it never had one.
-func (p *Planner) nextStart(now time.Time, j *jobs.Job, perTask time.Duration) (time.Duration, bool) {
-	age := now.Sub(j.Submitted)
-	best, any := time.Duration(0), false
-	consider := func(by time.Duration) {
-		any = true
-		if by > age && (best == 0 || by < best) {
-			best = by
-		}
-	}
-	for _, w := range p.waitBy[j.Class] {
-		consider(w)
-	}
-	for _, d := range p.doneBy[j.Class] {
-		consider(d - perTask)
-	}
-	if j.Deadline > 0 {
-		consider(j.Deadline - perTask)
+// missed reports whether the job has aims and can keep none of them any more: for each, the
+// wait at which all its tasks have to be started is over.
+func (p *Planner) missed(j *jobs.Job, age, perTask time.Duration) bool {
+	waits, ends := p.waitBy[j.Class], p.doneBy[j.Class]
+	if len(waits)+len(ends) == 0 && j.Deadline <= 0 {
+		return false
 	}
-	return best, any
+	late := age + perTask
+	return firstAfter(waits, age) == 0 && firstAfter(ends, late) == 0 && (j.Deadline <= 0 || j.Deadline <= late)
 }
 
 // within marks the jobs that fit into their team's guarantee together with the team's
--- a/internal/standin/cloud.go
+++ b/internal/standin/cloud.go
@@ -5,26 +5,16 @@
 	"sort"
 	"time"
 
+	"gullrudder/internal/fleet"
 	"gullrudder/internal/jobs"
 	"gullrudder/internal/packed"
 	"gullrudder/internal/workers"
 )
 
-type flavor struct {
-	Name      string   `msgpack:"name"`
-	CPUs      float64  `msgpack:"cpus"`
-	Cards     float64  `msgpack:"cards"`
-	Mem       float64  `msgpack:"mem_gb"`
-	Price     float64  `msgpack:"hourly"`
-	SpotPrice float64  `msgpack:"low_price"`
-	BootS     float64  `msgpack:"ready_s"`
-	Zones     []string `msgpack:"harbours"`
-}
-
 // Cloud rents machines; each has a worker.
 type Cloud struct {
 	w        *World
-	flavors  map[string]flavor
+	flavors  map[string]fleet.Type
 	machines map[string]*machine
 	names    []string
 	charters map[string][]string
@@ -41,7 +31,7 @@
 type machine struct {
 	w       *World
 	id      string
-	flavor  flavor
+	flavor  fleet.Type
 	zone    string
 	spot    bool
 	born    time.Time
@@ -70,9 +60,9 @@
 }
 
 func newCloud(w *World) *Cloud {
-	c := &Cloud{w: w, machines: map[string]*machine{}, charters: map[string][]string{}, capacity: 6, flavors: map[string]flavor{
-		"small": {"small", 4, 0, 16, 0.2, 0.06, 3, []string{"a", "b"}},
-		"large": {"large", 16, 2, 64, 0.9, 0.3, 4, []string{"b"}},
+	c := &Cloud{w: w, machines: map[string]*machine{}, charters: map[string][]string{}, capacity: 6, flavors: map[string]fleet.Type{
+		"small": {Name: "small", CPUs: 4, Mem: 16, Price: 0.2, SpotPrice: 0.06, BootS: 3, Zones: []string{"a", "b"}},
+		"large": {Name: "large", CPUs: 16, Cards: 2, Mem: 64, Price: 0.9, SpotPrice: 0.3, BootS: 4, Zones: []string{"b"}},
 	}}
 	var snap func()
 	snap = func() {
@@ -109,7 +99,7 @@
 func (c *Cloud) serve(method, path string, body []byte, answer func(int, any)) {
 	switch {
 	case path == "/flavors":
-		list := []flavor{c.flavors["large"], c.flavors["small"]}
+		list := []fleet.Type{c.flavors["large"], c.flavors["small"]}
 		answer(200, map[string]any{"keels": list})
 	case method == "GET":
 		// A list may be older than the one before.
--- a/internal/workers/workers.go
+++ b/internal/workers/workers.go
@@ -48,6 +48,12 @@
 	return max(n, 0)
 }
 
+// Holds is how many tasks of the job the machine has room for when nothing else runs.
+func (m *Machine) Holds(j *jobs.Job) int {
+	empty := Machine{CPUs: m.CPUs, Cards: m.Cards, Mem: m.Mem}
+	return empty.Fits(j)
+}
+
 func (m *Machine) add(a *jobs.Attempt) {
 	m.Attempts[a.Key] = a
 	if a.Job != nil {
