--- /dev/null
+++ b/internal/standin/model.go
@@ -0,0 +1,198 @@
+package standin
+
+import (
+	"time"
+
+	"gullrudder/internal/jobs"
+)
+
+// model is the slow plain model of the rules: who is where, and what was told to whom.
+type model struct {
+	w     *World
+	jobs  map[string]*modelJob
+	where map[jobs.Key][]*machine
+	Ran   int
+}
+
+type modelJob struct {
+	spec      jobs.Spec
+	run       time.Duration
+	done      map[int]bool
+	accepted  time.Time // when its user was told; zero: not yet
+	cancelled time.Time // when its user was told
+	finished  time.Time // when its user was told that it is done
+	asked     bool      // its user asked to cancel it
+	tried     bool      // it was submitted at least once
+}
+
+func newModel(w *World) *model {
+	return &model{w: w, jobs: map[string]*modelJob{}, where: map[jobs.Key][]*machine{}}
+}
+
+func (m *model) runTime(k jobs.Key) time.Duration {
+	if j := m.jobs[k.Job]; j != nil {
+		return j.run
+	}
+	return time.Second
+}
+
+func (m *model) saves(k jobs.Key) bool {
+	j := m.jobs[k.Job]
+	return j != nil && j.spec.Checkpoint > 0
+}
+
+// holds reports whether the machine's worker can still have tasks: it kills them when its
+// lease ends, and while it hangs it executes none beyond that.
+func (m *model) holds(h *machine) bool {
+	return h.alive() && m.w.Now.Sub(h.granted) <= m.w.Opt.Lease
+}
+
+// on is called when a task is on its machine: it has its image.
+func (m *model) on(h *machine, t *onMachine) {
+	m.Ran++
+	j := m.jobs[t.key.Job]
+	if j == nil || !j.tried {
+		m.w.breakRule("a task of an unknown job runs: %s", t.key)
+		return
+	}
+	if t.key.Task >= j.spec.Tasks {
+		m.w.breakRule("an impossible task runs: %s", t.key)
+	}
+	for _, o := range m.where[t.key] {
+		if m.holds(o) {
+			m.w.breakRule("ran_twice: %s on %s while on %s", t.key, h.id, o.id)
+		}
+	}
+	m.where[t.key] = append(m.where[t.key], h)
+	if !j.cancelled.IsZero() && m.w.Now.Sub(j.cancelled) > m.w.Opt.Cancel {
+		m.w.breakRule("ran_cancelled: %s starts %v after its user was told", t.key, m.w.Now.Sub(j.cancelled))
+	}
+	m.kind(h, t.key, j)
+	m.quota(j.spec.Team)
+}
+
+func (m *model) kind(h *machine, k jobs.Key, j *modelJob) {
+	s := j.spec
+	allowed := len(s.Types) == 0
+	for _, t := range s.Types {
+		allowed = allowed || t == h.flavor.Name
+	}
+	if !allowed || s.Zone != "" && s.Zone != h.zone || h.spot && !s.Spot {
+		m.w.breakRule("wrong_place: %s on %s", k, h.id)
+	}
+	zones := map[string]int{}
+	for t := range s.Tasks {
+		for _, o := range m.where[jobs.Key{Job: k.Job, Task: t}] {
+			if m.holds(o) {
+				zones[o.zone]++
+			}
+		}
+	}
+	if s.OneZone && len(zones) > 1 {
+		m.w.breakRule("wrong_place: %s is in %d zones", k.Job, len(zones))
+	}
+	for z, n := range zones {
+		if s.Spread && n > (s.Tasks+1)/2 {
+			m.w.breakRule("wrong_place: %d tasks of %s are in zone %s", n, k.Job, z)
+		}
+	}
+}
+
+func (m *model) quota(team string) {
+	used := 0.0
+	for k, list := range m.where {
+		for _, h := range list {
+			if j := m.jobs[k.Job]; j.spec.Team == team && m.holds(h) {
+				used += j.spec.CPUs
+			}
+		}
+	}
+	for _, t := range m.w.Opt.Teams {
+		if t.Name == team && t.CPULimit > 0 && used > t.CPULimit+1e-6 {
+			m.w.breakRule("quota: team %s uses %g CPUs of %g", team, used, t.CPULimit)
+		}
+	}
+}
+
+// off is called when a task leaves its machine.
+func (m *model) off(h *machine, t *onMachine) {
+	list := m.where[t.key]
+	for i, o := range list {
+		if o == h {
+			m.where[t.key] = append(list[:i:i], list[i+1:]...)
+			return
+		}
+	}
+}
+
+func (m *model) taskDone(k jobs.Key) {
+	if j := m.jobs[k.Job]; j != nil {
+		j.done[k.Task] = true
+	}
+}
+
+// forgotten is called when a worker is told to forget a task: its result has to be in the
+// state service by then, or nobody may want it any more.
+func (m *model) forgotten(t *onMachine) {
+	m.w.Users.mustSurvive(t)
+}
+
+// told takes in what a user was told. asked is when the user sent the request.
+func (m *model) told(id, state string, asked time.Time) {
+	j := m.jobs[id]
+	if j == nil || !j.tried {
+		m.w.breakRule("invented: %s is %s", id, state)
+		return
+	}
+	switch state {
+	case "done":
+		if len(j.done) < j.spec.Tasks {
+			m.w.breakRule("not_done: %s with %d of %d", id, len(j.done), j.spec.Tasks)
+		}
+		if !j.cancelled.IsZero() {
+			m.w.breakRule("went_back: %s was cancelled, is done", id)
+		}
+		if j.finished.IsZero() {
+			j.finished = m.w.Now
+		}
+	case "cancelled":
+		if !j.asked {
+			m.w.breakRule("went_back: nobody cancelled %s", id)
+		}
+		if !j.finished.IsZero() {
+			m.w.breakRule("went_back: %s was done, is cancelled", id)
+		}
+		if j.cancelled.IsZero() {
+			j.cancelled = m.w.Now
+			m.w.At(m.w.Opt.Cancel+time.Millisecond, func() { m.mustBeGone(id) })
+		}
+	default:
+		// An answer to a request that was sent before the newer answer came may be older.
+		if over := j.finished; !over.IsZero() && asked.After(over) {
+			m.w.breakRule("went_back: %s was done, is %s", id, state)
+		}
+		if over := j.cancelled; !over.IsZero() && asked.After(over) {
+			m.w.breakRule("went_back: %s was cancelled, is %s", id, state)
+		}
+	}
+	if j.accepted.IsZero() {
+		j.accepted = m.w.Now
+	}
+}
+
+func (m *model) mustBeGone(id string) {
+	for t := range m.jobs[id].spec.Tasks {
+		for _, h := range m.where[jobs.Key{Job: id, Task: t}] {
+			if m.holds(h) {
+				m.w.breakRule("ran_cancelled: %s/%d is still on %s", id, t, h.id)
+			}
+		}
+	}
+}
+
+// missing takes in a 404, or a refusal of a repeated submission.
+func (m *model) missing(id string, asked time.Time, status int) {
+	if j := m.jobs[id]; j != nil && !j.accepted.IsZero() && asked.After(j.accepted) {
+		m.w.breakRule("forgotten: %s is answered %d", id, status)
+	}
+}
--- /dev/null
+++ b/internal/standin/rules_test.go
@@ -0,0 +1,129 @@
+package standin
+
+import (
+	"io"
+	"log/slog"
+	"os"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"gullrudder/internal/config"
+)
+
+func quiet() *slog.Logger {
+	if os.Getenv("STANDIN_LOG") != "" {
+		return slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: slog.LevelDebug}))
+	}
+	return slog.New(slog.NewTextHandler(io.Discard, nil))
+}
+
+func options() Options {
+	tuning := config.DefaultOptions()
+	tuning.Backlog = 5 * time.Second
+	return Options{Nodes: 3, ReportEvery: time.Second, Lease: 8 * time.Second, Cancel: 20 * time.Second,
+		Loss: 0.002, Late: 0.5, Tuning: tuning,
+		Teams: []config.Team{{Name: "red", CPUs: 8, CPULimit: 14}, {Name: "blue", CPUs: 4, CPULimit: 20}}}
+}
+
+// A day without troubles ends with all work done; without this, a model that finds no
+// broken rule could be one that sees nothing run.
+func TestQuietDayGetsAllWorkDone(t *testing.T) {
+	for seed := range uint64(3) {
+		w := New(seed, options(), quiet())
+		for i := range 25 {
+			w.At(time.Duration(i)*2*time.Second, w.Users.Submit)
+		}
+		w.Run(4 * time.Minute)
+		if len(w.Broken) > 0 {
+			t.Fatalf("seed %d: %v", seed, w.Broken)
+		}
+		if w.Users.Accepted() != 25 || w.Users.Unfinished() != 0 || w.model.Ran < 25 {
+			t.Errorf("seed %d: %d of 25 accepted, %d unfinished, %d starts", seed, w.Users.Accepted(), w.Users.Unfinished(), w.model.Ran)
+		}
+		if err := w.State.Check(); err != nil {
+			t.Errorf("seed %d: %v", seed, err)
+		}
+	}
+}
+
+// trouble is one thing that goes wrong; rapid shrinks a list of them.
+type trouble struct {
+	at, span   time.Duration
+	kind, node int
+}
+
+const troubleKinds = 12
+
+func (x trouble) strike(w *World) {
+	name := nodeName(x.node)
+	switch x.kind {
+	case 0:
+		w.Crash(x.node, 2*time.Second+x.span/4)
+	case 1:
+		for i := range w.Opt.Nodes {
+			w.Crash(i, 2*time.Second)
+		}
+	case 2:
+		w.State.Outage(x.span)
+	case 3:
+		w.State.Refuse(name, x.span)
+	case 4:
+		w.Pause(x.node, x.span/3)
+	case 5:
+		w.Cut(name, nodeName((x.node+1)%w.Opt.Nodes), x.span)
+	case 6:
+		w.Cut(name, "state", x.span)
+	case 7:
+		w.Cut(name, "cloud", x.span)
+	case 8:
+		w.Cloud.CutMachine(x.span)
+	case 9:
+		w.Cloud.Hang(x.span)
+	case 10:
+		w.Cloud.Take(time.Duration(x.node) * 3 * time.Second)
+	case 11:
+		w.Cloud.Die()
+	}
+}
+
+func drawTroubles(t *rapid.T) []trouble {
+	return rapid.SliceOfN(rapid.Custom(func(t *rapid.T) trouble {
+		return trouble{
+			at:   time.Duration(rapid.IntRange(2000, 80_000).Draw(t, "at")) * time.Millisecond,
+			span: time.Duration(rapid.IntRange(500, 25_000).Draw(t, "span")) * time.Millisecond,
+			kind: rapid.IntRange(0, troubleKinds-1).Draw(t, "kind"),
+			node: rapid.IntRange(0, 2).Draw(t, "node"),
+		}
+	}), 1, 10).Draw(t, "troubles")
+}
+
+func playTroubles(seed uint64, troubles []trouble) *World {
+	w := New(seed, options(), quiet())
+	for i := range 30 {
+		w.At(time.Duration(i)*2500*time.Millisecond, w.Users.Submit)
+		w.At(time.Duration(i)*3*time.Second, w.Users.Invent)
+	}
+	for _, x := range troubles {
+		w.At(x.at, func() { x.strike(w) })
+	}
+	w.Run(100 * time.Second)
+	return w
+}
+
+// The rules hold under any schedule of crashes, outages, cuts, pauses, lost and late
+// messages, and afterwards all accepted work gets done.
+func TestRulesUnderTroubles(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		seed := rapid.Uint64().Draw(t, "seed")
+		w := playTroubles(seed, drawTroubles(t))
+		w.Run(150 * time.Second)
+		if len(w.Broken) > 0 {
+			t.Fatalf("broken: %v", w.Broken)
+		}
+		if n := w.Users.Unfinished(); n > 0 {
+			t.Fatalf("%d accepted jobs are not finished two and a half minutes after the troubles", n)
+		}
+	})
+}
--- /dev/null
+++ b/internal/standin/state.go
@@ -0,0 +1,301 @@
+package standin
+
+import (
+	"fmt"
+	"net/url"
+	"sort"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"gullrudder/internal/jobs"
+	"gullrudder/internal/packed"
+)
+
+// StateService is the small consistent store.
+type StateService struct {
+	w        *World
+	tide     uint64
+	keys     map[string]*stateKey
+	leases   map[uint64]*stateLease
+	next     uint64
+	log      []stateChange
+	watches  []func()
+	outage   time.Time            // until when nobody is served
+	refusing map[string]time.Time // node -> until when it alone gets 503
+}
+
+type stateKey struct {
+	value msgpack.RawMessage
+	mark  uint64
+	lease uint64
+}
+
+type stateLease struct {
+	ttl  time.Duration
+	ends time.Time
+}
+
+type stateChange struct {
+	Write string             `msgpack:"write,omitempty"`
+	Drop  string             `msgpack:"drop,omitempty"`
+	Value msgpack.RawMessage `msgpack:"value,omitempty"`
+	Mark  uint64             `msgpack:"mark"`
+}
+
+func newStateService(w *World) *StateService {
+	return &StateService{w: w, keys: map[string]*stateKey{}, leases: map[uint64]*stateLease{}, refusing: map[string]time.Time{}}
+}
+
+// Outage serves nobody for a while; afterwards every lease has its full time again.
+func (s *StateService) Outage(span time.Duration) {
+	s.outage = s.w.Now.Add(span)
+	for _, l := range s.leases {
+		l.ends = s.outage.Add(l.ttl)
+	}
+	for id := range s.leases {
+		s.w.At(span+s.leases[id].ttl, func() { s.expire(id) })
+	}
+}
+
+// Refuse answers one node with 503 for a while.
+func (s *StateService) Refuse(node string, span time.Duration) {
+	s.refusing[node] = s.w.Now.Add(span)
+}
+
+func (s *StateService) expire(id uint64) {
+	l := s.leases[id]
+	if l == nil || s.w.Now.Before(l.ends) {
+		return
+	}
+	s.end(id)
+}
+
+func (s *StateService) end(id uint64) {
+	delete(s.leases, id)
+	var gone []string
+	for k, v := range s.keys {
+		if v.lease == id {
+			gone = append(gone, k)
+		}
+	}
+	sort.Strings(gone)
+	if len(gone) > 0 {
+		s.tide++
+	}
+	for _, k := range gone {
+		delete(s.keys, k)
+		s.log = append(s.log, stateChange{Drop: k, Mark: s.tide})
+	}
+	s.wake()
+}
+
+func (s *StateService) wake() {
+	list := s.watches
+	s.watches = nil
+	for _, f := range list {
+		f()
+	}
+}
+
+func (s *StateService) refuses(node string) bool {
+	return s.w.Now.Before(s.outage) || s.w.Now.Before(s.refusing[node])
+}
+
+func (s *StateService) serve(node, method, target string, body []byte, answer func(int, any)) {
+	if s.refuses(node) {
+		answer(503, nil)
+		return
+	}
+	u, err := url.Parse(target)
+	if err != nil {
+		answer(400, nil)
+		return
+	}
+	q := u.Query()
+	switch {
+	case u.Path == "/leases":
+		var a struct {
+			TTL int64 `msgpack:"ttl_ms"`
+		}
+		if packed.Unmarshal(body, &a) != nil {
+			answer(400, nil)
+			return
+		}
+		s.next++
+		id, ttl := s.next, time.Duration(a.TTL)*time.Millisecond
+		s.leases[id] = &stateLease{ttl, s.w.Now.Add(ttl)}
+		s.w.At(ttl, func() { s.expire(id) })
+		answer(200, map[string]uint64{"permit": id})
+	case strings.HasPrefix(u.Path, "/leases/"):
+		s.serveLease(strings.TrimPrefix(u.Path, "/leases/"), method, answer)
+	case u.Path == "/commit":
+		s.commit(body, answer)
+	case strings.HasPrefix(u.Path, "/keys/"):
+		k := s.keys[strings.TrimPrefix(u.Path, "/keys/")]
+		if k == nil {
+			answer(404, map[string]uint64{"tide": s.tide})
+			return
+		}
+		answer(200, map[string]any{"path": u.Path[6:], "value": k.value, "mark": k.mark})
+	case u.Path == "/keys":
+		s.list(q, answer)
+	case u.Path == "/watch":
+		from, _ := strconv.ParseUint(q.Get("from"), 10, 64)
+		wait, _ := strconv.Atoi(q.Get("wait_ms"))
+		s.watch(node, q.Get("starts"), from, s.w.Now.Add(time.Duration(wait)*time.Millisecond), answer)
+	default:
+		answer(400, nil)
+	}
+}
+
+func (s *StateService) serveLease(rest, method string, answer func(int, any)) {
+	num, _, touch := strings.Cut(rest, "/touch")
+	id, err := strconv.ParseUint(num, 10, 64)
+	l := s.leases[id]
+	switch {
+	case err != nil:
+		answer(400, nil)
+	case l == nil:
+		answer(404, nil)
+	case touch:
+		l.ends = s.w.Now.Add(l.ttl)
+		s.w.At(l.ttl, func() { s.expire(id) })
+		answer(200, nil)
+	case method == "DELETE":
+		s.end(id)
+		answer(200, nil)
+	}
+}
+
+func (s *StateService) commit(body []byte, answer func(int, any)) {
+	var t struct {
+		Guards []struct {
+			Path string `msgpack:"path"`
+			Mark uint64 `msgpack:"mark"`
+		} `msgpack:"guards"`
+		Apply []struct {
+			Write string             `msgpack:"write"`
+			Drop  string             `msgpack:"drop"`
+			Value msgpack.RawMessage `msgpack:"value"`
+			Lease uint64             `msgpack:"permit"`
+		} `msgpack:"apply"`
+	}
+	if err := packed.Unmarshal(body, &t); err != nil {
+		s.w.breakRule("the state service got a malformed transaction: %v", err)
+		return
+	}
+	if len(t.Apply) > 8 || len(t.Guards) > 32 || len(body) > 64<<10 {
+		s.w.breakRule("a transaction is over the limits: %d changes, %d conditions, %d bytes", len(t.Apply), len(t.Guards), len(body))
+		return
+	}
+	for _, a := range t.Apply {
+		if a.Lease != 0 && s.leases[a.Lease] == nil {
+			answer(400, map[string]string{"error": "no such lease"})
+			return
+		}
+	}
+	for _, g := range t.Guards {
+		mark := uint64(0)
+		if k := s.keys[g.Path]; k != nil {
+			mark = k.mark
+		}
+		if mark != g.Mark {
+			answer(409, map[string]any{"failed": []string{g.Path}, "tide": s.tide})
+			return
+		}
+	}
+	s.tide++
+	for _, a := range t.Apply {
+		if a.Drop != "" {
+			delete(s.keys, a.Drop)
+			s.log = append(s.log, stateChange{Drop: a.Drop, Mark: s.tide})
+			continue
+		}
+		s.keys[a.Write] = &stateKey{a.Value, s.tide, a.Lease}
+		s.log = append(s.log, stateChange{Write: a.Write, Value: a.Value, Mark: s.tide})
+	}
+	answer(200, map[string]uint64{"tide": s.tide})
+	s.wake()
+}
+
+func (s *StateService) list(q url.Values, answer func(int, any)) {
+	most, _ := strconv.Atoi(q.Get("most"))
+	var names []string
+	for k := range s.keys {
+		if strings.HasPrefix(k, q.Get("starts")) && k > q.Get("from") {
+			names = append(names, k)
+		}
+	}
+	sort.Strings(names)
+	more := most > 0 && len(names) > most
+	if more {
+		names = names[:most]
+	}
+	list := []any{}
+	for _, k := range names {
+		list = append(list, map[string]any{"path": k, "value": s.keys[k].value, "mark": s.keys[k].mark})
+	}
+	answer(200, map[string]any{"entries": list, "has_next": more, "tide": s.tide})
+}
+
+func (s *StateService) watch(node, prefix string, from uint64, until time.Time, answer func(int, any)) {
+	var found []stateChange
+	for _, c := range s.log {
+		if c.Mark > from && strings.HasPrefix(c.Write+c.Drop, prefix) {
+			found = append(found, c)
+		}
+	}
+	if !s.refuses(node) && (len(found) > 0 || !s.w.Now.Before(until)) {
+		answer(200, map[string]any{"tide": s.tide, "log": found})
+		return
+	}
+	again := func() { s.watch(node, prefix, from, until, answer) }
+	if s.w.Now.Before(until) {
+		fired := false
+		once := func() {
+			if !fired {
+				fired = true
+				again()
+			}
+		}
+		s.watches = append(s.watches, once)
+		s.w.At(until.Sub(s.w.Now), once)
+		return
+	}
+	s.w.At(200*time.Millisecond, again)
+}
+
+// Check reports whether what is kept stays within the limits of a value.
+func (s *StateService) Check() error {
+	for k, v := range s.keys {
+		if len(v.value) > 4096 {
+			return fmt.Errorf("key %s holds %d bytes", k, len(v.value))
+		}
+	}
+	return nil
+}
+
+// results reads a job's record from the pages, as the next leader would.
+func (s *StateService) results(id string) (func(task int) bool, error) {
+	for _, k := range s.keys {
+		var page struct {
+			Entries map[string]msgpack.RawMessage `msgpack:"e"`
+		}
+		if msgpack.Unmarshal(k.value, &page) != nil || page.Entries[id] == nil {
+			continue
+		}
+		var rec jobs.Record
+		if err := msgpack.Unmarshal(page.Entries[id], &rec); err != nil {
+			return nil, fmt.Errorf("job %s: %w", id, err)
+		}
+		j, err := jobs.FromRecord(id, rec)
+		if err != nil {
+			return nil, err
+		}
+		return j.IsDurable, nil
+	}
+	return nil, fmt.Errorf("job %s is in no page", id)
+}
--- /dev/null
+++ b/internal/standin/users.go
@@ -0,0 +1,223 @@
+package standin
+
+import (
+	"fmt"
+	"time"
+
+	"gullrudder/internal/jobs"
+	"gullrudder/internal/packed"
+)
+
+// Users submit jobs, ask about them and cancel some.
+type Users struct {
+	w    *World
+	next int
+	ids  []string
+}
+
+func newUsers(w *World) *Users { return &Users{w: w} }
+
+// Wire is a submission as it goes over the wire.
+func Wire(s jobs.Spec) map[string]any {
+	kind := "array"
+	if s.Service {
+		kind = "service"
+	}
+	m := map[string]any{"id": s.ID, "berth": s.Class, "crew": s.Team, "rig": kind,
+		"heading": [...]string{"best_effort", "standard", "high", "critical"}[s.Priority], "strokes": s.Tasks,
+		"cpus": s.CPUs, "cards": s.Cards, "mem_gb": s.Mem, "hull": s.Image, "image_gb": s.ImageGB,
+		"one_zone": s.OneZone, "spread": s.Spread, "driftwood": s.Spot,
+		"voyage_s": s.Estimate.Seconds(), "mooring_s": s.Checkpoint.Seconds(), "tieup_s": s.Save.Seconds()}
+	if s.Deadline > 0 {
+		m["landfall_s"] = s.Deadline.Seconds()
+	}
+	if s.Zone != "" {
+		m["harbour"] = s.Zone
+	}
+	if len(s.Types) > 0 {
+		m["keels"] = s.Types
+	}
+	return m
+}
+
+// Submit sends a new job of a random form.
+func (u *Users) Submit() {
+	r := u.w.Rng
+	run := time.Duration(1+r.IntN(12)) * time.Second
+	s := jobs.Spec{ID: fmt.Sprintf("job-%06d", u.next), Class: fmt.Sprintf("class-%d", r.IntN(3)), Priority: jobs.Priority(r.IntN(4)),
+		Tasks: 1 + r.IntN(9), CPUs: float64(1 + r.IntN(3)), Mem: 2, Image: "img", ImageGB: 1, Spot: r.IntN(3) > 0,
+		OneZone: r.IntN(6) == 0, Estimate: run, Team: "none"}
+	u.next++
+	if len(u.w.Opt.Teams) > 0 {
+		s.Team = u.w.Opt.Teams[r.IntN(len(u.w.Opt.Teams))].Name
+	}
+	if !s.OneZone && r.IntN(6) == 0 {
+		s.Spread = true
+	}
+	if r.IntN(8) == 0 && !s.Spread {
+		s.Zone = "b"
+	}
+	if r.IntN(8) == 0 {
+		s.Types = []string{"small"}
+	}
+	if r.IntN(3) == 0 {
+		s.Deadline = 3*run + 10*time.Second
+	}
+	if r.IntN(3) == 0 {
+		s.Checkpoint, s.Save = 2*time.Second, time.Second
+	}
+	if r.IntN(12) == 0 {
+		s.Service, s.Tasks, s.Deadline, s.Estimate = true, 1+r.IntN(2), 0, 0
+		run = 1000 * time.Hour
+	}
+	u.w.model.jobs[s.ID] = &modelJob{spec: s, run: run, done: map[int]bool{}}
+	u.ids = append(u.ids, s.ID)
+	u.submit(s, u.w.Now)
+	if r.IntN(5) == 0 || s.Service {
+		u.w.At(time.Duration(r.IntN(40))*time.Second, func() { u.cancel(s.ID) })
+	}
+	if r.IntN(4) == 0 {
+		u.w.At(time.Duration(r.IntN(90))*time.Second, func() { u.submit(s, u.w.Now) })
+	}
+}
+
+// ask sends a request through a random controller.
+func (u *Users) ask(method, path string, body any, then func(status int, state string, asked time.Time)) {
+	name := nodeName(u.w.Rng.IntN(u.w.Opt.Nodes))
+	asked := u.w.Now
+	raw, err := encode(body)
+	if err != nil {
+		u.w.breakRule("a request cannot be encoded: %v", err)
+		return
+	}
+	settled := false
+	settle := func(status int, state string) {
+		if !settled {
+			settled = true
+			then(status, state, asked)
+		}
+	}
+	u.w.At(5*time.Second, func() { settle(0, "") })
+	there, ok := u.w.travel("user", name)
+	if !ok {
+		return
+	}
+	u.w.At(there, func() {
+		u.w.request(name, false, method, path, raw, func(status int, body any) {
+			back, ok := u.w.travel(name, "user")
+			if !ok {
+				return
+			}
+			u.w.At(back, func() {
+				var a struct {
+					ID    string `msgpack:"id"`
+					State string `msgpack:"trim"`
+				}
+				if raw, err := encode(body); err == nil && status/100 == 2 && packed.Unmarshal(raw, &a) != nil {
+					u.w.breakRule("an answer cannot be read")
+				}
+				settle(status, a.State)
+			})
+		})
+	})
+}
+
+func (u *Users) submit(s jobs.Spec, since time.Time) {
+	u.w.model.jobs[s.ID].tried = true
+	u.ask("POST", "/work", Wire(s), func(status int, state string, asked time.Time) {
+		switch {
+		case status == 200 || status == 201:
+			u.w.model.told(s.ID, state, asked)
+			u.w.At(2*time.Second, func() { u.poll(s.ID) })
+		case status == 400 || status == 422:
+			u.w.model.missing(s.ID, asked, status)
+		case u.w.Now.Sub(since) < time.Minute:
+			u.w.At(time.Second, func() { u.submit(s, since) })
+		}
+	})
+}
+
+func (u *Users) poll(id string) {
+	u.ask("GET", "/work/"+id, nil, func(status int, state string, asked time.Time) {
+		switch status {
+		case 200:
+			u.w.model.told(id, state, asked)
+		case 404:
+			u.w.model.missing(id, asked, status)
+		}
+		again := 3 * time.Second
+		if state == "done" || state == "cancelled" {
+			again = 25 * time.Second
+		}
+		u.w.At(again, func() { u.poll(id) })
+	})
+}
+
+func (u *Users) cancel(id string) {
+	j := u.w.model.jobs[id]
+	if j.accepted.IsZero() {
+		u.w.At(3*time.Second, func() { u.cancel(id) })
+		return
+	}
+	j.asked = true
+	u.ask("POST", "/work/"+id+"/withdraw", nil, func(status int, state string, asked time.Time) {
+		switch status {
+		case 200:
+			u.w.model.told(id, state, asked)
+		case 404:
+			u.w.model.missing(id, asked, status)
+		default:
+			u.w.At(time.Second, func() { u.cancel(id) })
+		}
+	})
+}
+
+// Invent asks about a job that nobody has submitted.
+func (u *Users) Invent() {
+	id := fmt.Sprintf("job-9%05d", u.w.Rng.IntN(100000))
+	u.ask("GET", "/work/"+id, nil, func(status int, state string, asked time.Time) {
+		if status == 200 {
+			u.w.model.told(id, state, asked)
+		}
+	})
+}
+
+// Unfinished counts the accepted jobs, services aside, that are neither done nor
+// cancelled as their users know it.
+func (u *Users) Unfinished() int {
+	n := 0
+	for _, id := range u.ids {
+		j := u.w.model.jobs[id]
+		if !j.accepted.IsZero() && j.finished.IsZero() && j.cancelled.IsZero() && !j.spec.Service {
+			n++
+		}
+	}
+	return n
+}
+
+// Accepted counts the accepted jobs.
+func (u *Users) Accepted() int {
+	n := 0
+	for _, id := range u.ids {
+		if !u.w.model.jobs[id].accepted.IsZero() {
+			n++
+		}
+	}
+	return n
+}
+
+// mustSurvive checks that a result that a worker forgets is kept in the state service.
+func (u *Users) mustSurvive(t *onMachine) {
+	j := u.w.model.jobs[t.key.Job]
+	if j == nil || t.why != "done" || j.asked {
+		return
+	}
+	kept, err := u.w.State.results(t.key.Job)
+	if err != nil {
+		u.w.breakRule("the ledger cannot be read: %v", err)
+		return
+	}
+	if !kept(t.key.Task) {
+		u.w.breakRule("the result of %s is forgotten before it is durable", t.key)
+	}
+}
--- /dev/null
+++ b/internal/standin/world.go
@@ -0,0 +1,315 @@
+// Package standin is a world for the tests: state service, cloud, workers and users in
+// virtual time, with crashes, cuts, lost, late and repeated messages. It plays the real
+// owner code of several controllers and checks every rule with a slow plain model.
+package standin
+
+import (
+	"container/heap"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"time"
+
+	"gullrudder/internal/config"
+	"gullrudder/internal/node"
+	"gullrudder/internal/outbox"
+	"gullrudder/internal/packed"
+)
+
+// World is everything outside of the controllers, and the controllers.
+type World struct {
+	Now     time.Time
+	Rng     *rand.Rand
+	Broken  []string // rules that were broken
+	Opt     Options
+	events  eventHeap
+	seq     int
+	nodes   []*controller
+	State   *StateService
+	Cloud   *Cloud
+	Users   *Users
+	model   *model
+	cuts    map[string]time.Time // link -> until when it is cut
+	started time.Time
+	Log     *slog.Logger
+}
+
+// Options of a world.
+type Options struct {
+	Nodes       int
+	Teams       []config.Team
+	ReportEvery time.Duration
+	Lease       time.Duration
+	Cancel      time.Duration
+	Loss        float64 // share of messages that are lost
+	Late        float64 // share of requests that are held back and delivered late, after a cut
+	Tuning      config.Options
+}
+
+type controller struct {
+	index  int
+	cfg    *config.Platform
+	node   *node.Node
+	gen    int // outdates everything of an earlier process
+	drift  float64
+	booted time.Time
+	paused time.Time
+	queue  []node.Command
+}
+
+type event struct {
+	at  time.Time
+	seq int
+	do  func()
+}
+
+type eventHeap []event
+
+func (h eventHeap) Len() int { return len(h) }
+func (h eventHeap) Less(i, j int) bool {
+	if !h[i].at.Equal(h[j].at) {
+		return h[i].at.Before(h[j].at)
+	}
+	return h[i].seq < h[j].seq
+}
+func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h *eventHeap) Push(x any)   { *h = append(*h, x.(event)) }
+func (h *eventHeap) Pop() any {
+	old := *h
+	e := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return e
+}
+
+// New makes a world whose controllers have just started.
+func New(seed uint64, opt Options, log *slog.Logger) *World {
+	start := time.Unix(1_000_000, 0)
+	w := &World{Now: start, started: start, Rng: rand.New(rand.NewPCG(seed, 7)), Opt: opt, cuts: map[string]time.Time{}, Log: log}
+	w.State = newStateService(w)
+	w.Cloud = newCloud(w)
+	w.model = newModel(w)
+	w.Users = newUsers(w)
+	for i := range opt.Nodes {
+		c := &controller{index: i, cfg: w.settings(i), drift: (w.Rng.Float64() - 0.5) * 0.001}
+		w.nodes = append(w.nodes, c)
+		w.boot(c)
+	}
+	return w
+}
+
+func nodeName(i int) string { return fmt.Sprintf("node-%d", i) }
+
+func (w *World) settings(i int) *config.Platform {
+	p := &config.Platform{Name: nodeName(i), Zone: "a", Public: nodeName(i), PeerBind: nodeName(i),
+		Zones: []string{"a", "b"}, Teams: w.Opt.Teams,
+		ReportEvery: w.Opt.ReportEvery, WorkerLease: w.Opt.Lease, CancelWithin: w.Opt.Cancel,
+		StateRate: 200, StateWrites: 20, ValueBytes: 4096, TxnOps: 8, CloudRate: 5, ListLag: 2 * time.Second,
+		CPUShare: 1, MemoryMB: 100, Connections: 1000}
+	for j := range w.Opt.Nodes {
+		if j != i {
+			p.Peers = append(p.Peers, config.Peer{Name: nodeName(j), Addr: nodeName(j)})
+		}
+	}
+	return p
+}
+
+// At schedules.
+func (w *World) At(d time.Duration, do func()) {
+	w.seq++
+	heap.Push(&w.events, event{w.Now.Add(max(d, 0)), w.seq, do})
+}
+
+// Run plays for a span of virtual time or until a rule is broken.
+func (w *World) Run(span time.Duration) {
+	end := w.Now.Add(span)
+	for len(w.events) > 0 && !w.events[0].at.After(end) && len(w.Broken) == 0 {
+		e := heap.Pop(&w.events).(event)
+		w.Now = e.at
+		e.do()
+	}
+	if len(w.Broken) == 0 {
+		w.Now = end
+	}
+}
+
+func (w *World) breakRule(format string, args ...any) {
+	w.Broken = append(w.Broken, fmt.Sprintf("%7.3f ", w.Now.Sub(w.started).Seconds())+fmt.Sprintf(format, args...))
+}
+
+// local is the controller's own steady clock.
+func (w *World) local(c *controller) time.Time {
+	run := w.Now.Sub(w.started)
+	return w.Now.Add(time.Duration(float64(run) * c.drift))
+}
+
+func (w *World) boot(c *controller) {
+	c.gen++
+	c.booted = w.Now
+	c.queue = nil
+	rng := rand.New(rand.NewPCG(w.Rng.Uint64(), uint64(c.index)))
+	c.node = node.New(c.cfg, w.Opt.Tuning, w.local(c), rng, w.Log.With("node", c.cfg.Name, "at", w.Now.Sub(w.started)))
+	gen := c.gen
+	var tick func()
+	tick = func() {
+		if c.gen != gen {
+			return
+		}
+		w.step(c)
+		w.At(50*time.Millisecond, tick)
+	}
+	w.At(time.Duration(w.Rng.IntN(50))*time.Millisecond, tick)
+}
+
+// Crash ends a controller and starts it again later.
+func (w *World) Crash(i int, back time.Duration) {
+	c := w.nodes[i]
+	if c.node == nil {
+		return
+	}
+	c.node = nil
+	c.gen++
+	w.At(back, func() { w.boot(c) })
+}
+
+// Pause keeps a controller from doing anything for a while, as when it gets no processor.
+func (w *World) Pause(i int, span time.Duration) { w.nodes[i].paused = w.Now.Add(span) }
+
+// deliver hands a command to a controller's queue.
+func (w *World) deliver(c *controller, cmd node.Command) {
+	if c.node == nil {
+		return
+	}
+	c.queue = append(c.queue, cmd)
+	gen := c.gen
+	w.At(time.Millisecond, func() {
+		if c.gen == gen && len(c.queue) > 0 {
+			w.step(c)
+		}
+	})
+}
+
+func (w *World) step(c *controller) {
+	if w.Now.Before(c.paused) {
+		gen := c.gen
+		w.At(c.paused.Sub(w.Now), func() {
+			if c.gen == gen {
+				w.step(c)
+			}
+		})
+		return
+	}
+	cmds := c.queue
+	c.queue = nil
+	e := c.node.Step(w.local(c), cmds)
+	for _, r := range e.Replies {
+		if f, ok := r.Ref.(func(node.Reply)); ok {
+			f(r)
+		}
+	}
+	for _, call := range e.Calls {
+		w.At(call.After, func() { w.call(c, c.gen, call) })
+	}
+}
+
+// Cut holds everything between two hosts back for a while.
+func (w *World) Cut(a, b string, span time.Duration) {
+	w.cuts[a+"|"+b] = w.Now.Add(span)
+	w.cuts[b+"|"+a] = w.Now.Add(span)
+}
+
+// travel is how long a message takes, or false if it never comes. What is sent into a cut
+// is lost or comes after the cut, however late that is.
+func (w *World) travel(from, to string) (time.Duration, bool) {
+	d := time.Duration(200+w.Rng.IntN(3000)) * time.Microsecond
+	if until, ok := w.cuts[from+"|"+to]; ok && w.Now.Before(until) {
+		if w.Rng.Float64() < w.Opt.Late {
+			return until.Sub(w.Now) + d, true
+		}
+		return 0, false
+	}
+	if w.Rng.Float64() < w.Opt.Loss {
+		return 0, false
+	}
+	if w.Rng.IntN(40) == 0 {
+		d += time.Duration(w.Rng.IntN(400)) * time.Millisecond
+	}
+	return d, true
+}
+
+// call carries one of a controller's calls out. The far side may execute it although the
+// caller has given up, or is dead.
+func (w *World) call(c *controller, gen int, call outbox.Call) {
+	if c.gen != gen || c.node == nil {
+		return
+	}
+	settled := false
+	settle := func(r outbox.Result) {
+		if !settled && c.gen == gen {
+			settled = true
+			w.deliver(c, node.Command{Outcome: &node.Outcome{Call: call, Result: r}})
+		}
+	}
+	w.At(call.Timeout, func() { settle(outbox.Result{}) })
+	host := map[outbox.Service]string{outbox.State: "state", outbox.Cloud: "cloud"}[call.Service]
+	if host == "" {
+		host = call.Addr
+	}
+	body, err := encode(call.Body)
+	if err != nil {
+		w.breakRule("a body cannot be encoded: %v", err)
+		return
+	}
+	there, ok := w.travel(c.cfg.Name, host)
+	if !ok {
+		return
+	}
+	answer := func(status int, body any) {
+		raw, err := encode(body)
+		if err != nil {
+			w.breakRule("an answer cannot be encoded: %v", err)
+			return
+		}
+		if back, ok := w.travel(host, c.cfg.Name); ok {
+			w.At(back, func() { settle(outbox.Result{Status: status, Body: raw}) })
+		}
+	}
+	w.At(there, func() {
+		switch call.Service {
+		case outbox.State:
+			w.State.serve(c.cfg.Name, call.Method, call.Path, body, answer)
+		case outbox.Cloud:
+			w.Cloud.serve(call.Method, call.Path, body, answer)
+		case outbox.Worker:
+			w.Cloud.direct(call.Addr, body, answer)
+		case outbox.Peer:
+			w.request(call.Addr, true, call.Method, call.Path, body, answer)
+		}
+	})
+}
+
+// request brings a request to a controller.
+func (w *World) request(name string, peer bool, method, path string, body []byte, answer func(int, any)) {
+	for _, c := range w.nodes {
+		if c.cfg.Name != name || c.node == nil {
+			continue
+		}
+		reply := func(r node.Reply) { answer(r.Status, encoded(r.Body)) }
+		w.deliver(c, node.Command{Request: &node.Request{Ref: reply, Peer: peer, Method: method, Target: path, Body: body}})
+	}
+}
+
+// encoded is a body that is encoded already.
+type encoded []byte
+
+func encode(body any) ([]byte, error) {
+	switch b := body.(type) {
+	case nil:
+		return nil, nil
+	case encoded:
+		return b, nil
+	}
+	if raw, ok := node.Raw(body); ok {
+		return raw, nil
+	}
+	return packed.Marshal(body)
+}
