--- /dev/null
+++ b/cmd/gullrudder/client.go
@@ -0,0 +1,235 @@
+package main
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"gullrudder/internal/httpwire"
+	"gullrudder/internal/node"
+	"gullrudder/internal/packed"
+)
+
+// Exit codes, besides 0 and 2 for wrong usage or settings.
+const (
+	exitRefused     = 1
+	exitUnavailable = 3
+)
+
+// api is a user's side of the protocol.
+type api struct {
+	server, output string
+	patience       time.Duration
+	client         *httpwire.Client
+	out            io.Writer
+}
+
+// job is what the controllers say of a job.
+type job struct {
+	ID      string `msgpack:"id" json:"id"`
+	State   string `msgpack:"trim" json:"state"`
+	Label   string `msgpack:"label" json:"label,omitempty"`
+	Done    *int   `msgpack:"done" json:"done,omitempty"`
+	Running *int   `msgpack:"running" json:"running,omitempty"`
+}
+
+func apiFlags(cmd *cobra.Command, a *api) {
+	a.client = httpwire.NewClient(1, 1, httpwire.MaxBody)
+	cmd.Flags().StringVar(&a.server, "server", os.Getenv("GULLRUDDER_SERVER"), "address of a controller, host:port (or GULLRUDDER_SERVER)")
+	cmd.Flags().StringVar(&a.output, "output", "table", "table or json")
+	cmd.Flags().DurationVar(&a.patience, "patience", time.Minute, "how long to go on asking when the service cannot answer")
+}
+
+func (a *api) check() error {
+	if a.server == "" {
+		return errors.New("no controller is named: use --server or GULLRUDDER_SERVER")
+	}
+	if a.output != "table" && a.output != "json" {
+		return fmt.Errorf("--output %s: not table or json", a.output)
+	}
+	return nil
+}
+
+// ask sends a request, and again for as long as the protocol has users do.
+func (a *api) ask(method, path string, body []byte) (*httpwire.Message, error) {
+	end := time.Now().Add(a.patience)
+	for {
+		msg, err := a.client.Do(a.server, method, path, body, 5*time.Second)
+		if err == nil && (msg.Status < 300 || msg.Status == 400 || msg.Status == 404 || msg.Status == 405 || msg.Status == 422) {
+			return msg, nil
+		}
+		wait := time.Second
+		if err == nil {
+			wait = min(max(wait, msg.RetryAfter), 30*time.Second)
+			err = fmt.Errorf("the service answers %d%s", msg.Status, why(msg.Body))
+		}
+		if time.Now().Add(wait).After(end) {
+			return nil, &failure{exitUnavailable, err}
+		}
+		time.Sleep(wait)
+	}
+}
+
+func why(body []byte) string {
+	var e struct {
+		Error string `msgpack:"error"`
+	}
+	if packed.Unmarshal(body, &e) != nil || e.Error == "" {
+		return ""
+	}
+	return ": " + e.Error
+}
+
+// job asks for something that is answered with a job.
+func (a *api) job(method, path string, body []byte) error {
+	msg, err := a.ask(method, path, body)
+	if err != nil {
+		return err
+	}
+	if msg.Status >= 300 {
+		return &failure{exitRefused, fmt.Errorf("refused with %d%s", msg.Status, why(msg.Body))}
+	}
+	var j job
+	if err := packed.Unmarshal(msg.Body, &j); err != nil {
+		return &failure{exitUnavailable, fmt.Errorf("the answer cannot be read: %w", err)}
+	}
+	return a.show(j, func(w io.Writer) {
+		fmt.Fprintln(w, "JOB\tSTATE\tLABEL\tDONE\tRUNNING")
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\n", j.ID, j.State, orDash(j.Label), count(j.Done), count(j.Running))
+	})
+}
+
+func orDash(s string) string {
+	if s == "" {
+		return "-"
+	}
+	return s
+}
+
+func count(n *int) string {
+	if n == nil {
+		return "-"
+	}
+	return fmt.Sprint(*n)
+}
+
+func (a *api) show(v any, table func(io.Writer)) error {
+	if a.output == "json" {
+		enc := json.NewEncoder(a.out)
+		enc.SetIndent("", "  ")
+		return enc.Encode(v)
+	}
+	w := tabwriter.NewWriter(a.out, 0, 4, 2, ' ', 0)
+	table(w)
+	return w.Flush()
+}
+
+// userCommand makes a command that takes one argument and speaks to a controller.
+func userCommand(use, short, long string, args cobra.PositionalArgs, run func(a *api, args []string) error) *cobra.Command {
+	a := &api{}
+	cmd := &cobra.Command{Use: use, Short: short, Long: long, Args: args, RunE: func(cmd *cobra.Command, args []string) error {
+		if err := a.check(); err != nil {
+			return err
+		}
+		a.out = cmd.OutOrStdout()
+		return run(a, args)
+	}}
+	apiFlags(cmd, a)
+	return cmd
+}
+
+func submitCommand() *cobra.Command {
+	return userCommand("submit FILE", "Submit a job",
+		"Submit a job described by a JSON file with the fields of the protocol ('-' reads standard input).\n"+
+			"The same file may be submitted again: the id makes it one job.",
+		cobra.ExactArgs(1), func(a *api, args []string) error {
+			body, err := submission(args[0])
+			if err != nil {
+				return &failure{2, err}
+			}
+			return a.job("POST", "/work", body)
+		})
+}
+
+func submission(path string) ([]byte, error) {
+	in := io.Reader(os.Stdin)
+	if path != "-" {
+		f, err := os.Open(path)
+		if err != nil {
+			return nil, fmt.Errorf("job file: %w", err)
+		}
+		defer f.Close()
+		in = f
+	}
+	var fields map[string]any
+	if err := json.NewDecoder(in).Decode(&fields); err != nil {
+		return nil, fmt.Errorf("job file %s: %w", path, err)
+	}
+	return packed.Marshal(fields)
+}
+
+func showCommand() *cobra.Command {
+	return userCommand("show JOB", "Show a job's state", "", cobra.ExactArgs(1), func(a *api, args []string) error {
+		return a.job("GET", "/work/"+segment(args[0]), nil)
+	})
+}
+
+func withdrawCommand() *cobra.Command {
+	return userCommand("withdraw JOB", "Cancel a job", "", cobra.ExactArgs(1), func(a *api, args []string) error {
+		return a.job("POST", "/work/"+segment(args[0])+"/withdraw", nil)
+	})
+}
+
+// segment keeps an id that is none from becoming another path.
+func segment(id string) string {
+	return strings.Map(func(r rune) rune {
+		if r <= ' ' || r >= 0x7f || strings.ContainsRune("/?#%", r) {
+			return '_'
+		}
+		return r
+	}, id)
+}
+
+func statusCommand() *cobra.Command {
+	return userCommand("status", "Show what a controller knows: leader, budgets, fleet, queue, latencies", "", cobra.NoArgs,
+		func(a *api, _ []string) error {
+			msg, err := a.ask("GET", "/status", nil)
+			if err != nil {
+				return err
+			}
+			var s node.Status
+			if err := packed.Unmarshal(msg.Body, &s); err != nil {
+				return &failure{exitUnavailable, fmt.Errorf("the answer cannot be read: %w", err)}
+			}
+			return a.show(s, func(w io.Writer) { statusTable(w, s) })
+		})
+}
+
+func statusTable(w io.Writer, s node.Status) {
+	fmt.Fprintf(w, "node\t%s\nleader\t%s\n", s.Node, orDash(s.Leader))
+	if s.Token > 0 {
+		fmt.Fprintf(w, "token\t%d\nplacing\t%v\nstate service ok\t%v\njobs\t%d\ntasks waiting\t%d\ntasks placed\t%d\n",
+			s.Token, s.Placing, s.Healthy, s.Jobs, s.Waiting, s.Running)
+	}
+	b := s.Budgets
+	fmt.Fprintf(w, "budgets\tstate %g/s, changes %g/s, cloud %g/s, %d connections, %g MB\n", b.StateRate, b.StateWrites, b.CloudRate, b.Connections, b.MemoryMB)
+	if len(s.Machines) > 0 {
+		fmt.Fprintln(w, "\nMACHINE\tTYPE\tZONE\tSPOT\tSTATE\tTASKS\tCPUS")
+		for _, m := range s.Machines {
+			fmt.Fprintf(w, "%s\t%s\t%s\t%v\t%s\t%d\t%g\n", m.ID, m.Type, m.Zone, m.Spot, m.State, m.Tasks, m.CPUs)
+		}
+	}
+	if len(s.Took) > 0 {
+		fmt.Fprintln(w, "\nREQUEST\tCOUNT\tP50 MS\tP99 MS\tMAX MS")
+		for _, l := range s.Took {
+			fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%d\n", l.Kind, l.Count, l.P50, l.P99, l.Max)
+		}
+	}
+}
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -89,8 +89,7 @@
 	for _, r := range e.Replies {
 		if a, ok := r.Ref.(arrived); ok {
 			a.Reply(r.Status, r.Body, r.Retry)
-			kind, _, _ := strings.Cut(strings.TrimPrefix(a.Target, "/"), "/")
-			rt.node.Took(a.Method+" "+kind, time.Since(a.at))
+			rt.node.Took(kindOfRequest(a.Method, a.Target, r.Status), time.Since(a.at))
 		}
 	}
 	for _, c := range e.Calls {
@@ -98,6 +97,17 @@
 	}
 }
 
+// kindOfRequest groups requests for the latency table; what was not understood is one
+// group, so that strangers cannot make the table grow.
+func kindOfRequest(method, target string, status int) string {
+	if status == 404 || status == 405 {
+		return "other"
+	}
+	first, _, _ := strings.Cut(strings.TrimPrefix(target, "/"), "/")
+	path, _, _ := strings.Cut(first, "?")
+	return method + " /" + path
+}
+
 func (rt *Runtime) call(c outbox.Call) {
 	if c.After > 0 {
 		time.Sleep(c.After)
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -1,6 +1,8 @@
 package node
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
@@ -77,7 +79,8 @@
 	s := Status{Node: n.cfg.Name, Leader: n.election.Leader(now), Budgets: Budgets{
 		StateRate: n.cfg.StateRate, StateWrites: n.cfg.StateWrites, CloudRate: n.cfg.CloudRate,
 		Connections: n.cfg.Connections, MemoryMB: n.cfg.MemoryMB}}
-	for kind, h := range n.watch.byKind {
+	for _, kind := range slices.Sorted(maps.Keys(n.watch.byKind)) {
+		h := n.watch.byKind[kind]
 		s.Took = append(s.Took, Latency{kind, h.TotalCount(), h.ValueAtQuantile(50), h.ValueAtQuantile(99), h.Max()})
 	}
 	if l := n.lead; l != nil {
