A late renewal pauses the leadership instead of rebuilding it under the same token

Now the state is kept and nothing is done until the state service confirms the lease; promises given after a lapse do not count. The new test turns red without the check of the promises and with the old step-down.

--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -121,6 +121,10 @@
 	return e.mode == leading && now.Before(e.EntitledUntil())
 }
 
+// Leading reports whether this controller holds the leader's key as far as it knows. It may
+// act only while it is Entitled too: in between lies a renewal that is late.
+func (e *Election) Leading() bool { return e.mode == leading }
+
 // Token is the token of the present leadership.
 func (e *Election) Token() uint64 { return e.token }
 
@@ -177,7 +181,9 @@
 
 // Tick does what is due.
 func (e *Election) Tick(now time.Time, box *outbox.Box) {
-	if e.mode == leading && !e.Entitled(now) {
+	// A renewal that is only late finds the lease alive: then nobody else has led, and what
+	// this leader knows still holds. So the leadership is kept a lease longer, without acting.
+	if e.mode == leading && now.Sub(e.EntitledUntil()) > e.opt.Lease {
 		e.StepDown(now, box, "entitlement ended")
 	}
 	switch e.mode {
@@ -268,7 +274,9 @@
 					// promise, and we by its end.
 					return
 				}
-				if a.Promised {
+				// Once the entitlement has lapsed only the state service can tell that
+				// nobody has led since: the peers may promise after a leadership of theirs.
+				if a.Promised && e.Entitled(now) {
 					pr.sent, pr.granted = sent, true
 				}
 			}})
--- a/internal/leader/leader_test.go
+++ b/internal/leader/leader_test.go
@@ -182,3 +182,32 @@
 		t.Errorf("entitled %v too long", f.e.EntitledUntil().Sub(limit))
 	}
 }
+
+// On a slow processor a renewal comes late. The leadership goes on with what it knows if the
+// state service says that the lease is alive, which the peers cannot know; without that it
+// ends after one more lease. Before, it was built anew under the same token, and its attempt
+// numbers and rental names began anew with it.
+func TestLateRenewal(t *testing.T) {
+	f := fresh(t)
+	f.elect()
+	calls := f.tick(lease / 2)
+	f.now = f.now.Add(lease * 3 / 4)
+	if f.e.Entitled(f.now) {
+		t.Fatal("entitled past the lease")
+	}
+	f.answer(calls, "/peer/hello", 200, HelloAnswer{Promised: true})
+	if f.e.Entitled(f.now) {
+		t.Error("promises given after the entitlement had lapsed carry it on")
+	}
+	f.answer(calls, "/leases/3/touch", 200, nil)
+	if !f.e.Entitled(f.now) || f.e.Token() != 6 {
+		t.Errorf("entitled %v with token %d after a renewal that came late", f.e.Entitled(f.now), f.e.Token())
+	}
+	f.tick(lease)
+	if !f.e.Leading() || f.e.Entitled(f.now) {
+		t.Errorf("leads %v, entitled %v while the next renewal is late", f.e.Leading(), f.e.Entitled(f.now))
+	}
+	if f.tick(lease); f.e.Leading() {
+		t.Error("still leads two leases after the last renewal")
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -66,6 +66,7 @@
 	election *leader.Election
 	met      bool // a leader has been heard of, or this is one
 	lead     *leadership
+	acting   bool // the leadership is entitled to act at present
 	box      outbox.Box
 	replies  []Reply
 	nextTick time.Time
@@ -152,13 +153,17 @@
 		n.nextTick = now.Add(tickEvery)
 		n.election.Tick(now, &n.box)
 		n.turn(now)
-		if n.lead != nil {
+		if n.acting {
 			n.tick(now)
 		}
 	}
 	if l := n.lead; l != nil {
-		n.answerReports(now)
-		l.ledger.Flush(now, &n.box)
+		if n.acting {
+			n.answerReports(now)
+			l.ledger.Flush(now, &n.box)
+		} else {
+			n.turnAway(l)
+		}
 	}
 	e := Effects{Replies: n.replies, Calls: n.box.Take()}
 	n.replies = nil
@@ -170,15 +175,25 @@
 	if n.lead != nil && n.lead.ledger.Lost() {
 		n.election.StepDown(now, &n.box, "another leader has written")
 	}
-	entitled := n.election.Entitled(now)
-	if n.lead != nil && (!entitled || n.lead.token != n.election.Token()) {
+	// While a renewal is late the state is kept and nothing is done. It is never built anew
+	// under the same token: its counter would give out numbers for the second time.
+	if n.lead != nil && (!n.election.Leading() || n.lead.token != n.election.Token()) {
 		n.resign()
 	}
-	if n.lead == nil && entitled {
+	n.acting = n.election.Entitled(now)
+	if n.lead == nil && n.acting {
 		n.takeOver(now)
 	}
 }
 
+// turnAway refuses the reports that still wait for an answer.
+func (n *Node) turnAway(l *leadership) {
+	for _, p := range l.reports {
+		n.reply(p.req, 503, nil, 0)
+	}
+	l.reports = nil
+}
+
 // resign drops everything that belonged to the leadership. Whoever still waits is told
 // to come back.
 func (n *Node) resign() {
@@ -186,9 +201,7 @@
 	n.lead = nil
 	l.ledger.Close()
 	l.cloud.Close()
-	for _, p := range l.reports {
-		n.reply(p.req, 503, nil, 0)
-	}
+	n.turnAway(l)
 }
 
 func (n *Node) reply(r *Request, status int, body any, retry time.Duration) {
@@ -252,7 +265,7 @@
 }
 
 func (n *Node) ready(now time.Time, r *Request) {
-	if n.lead != nil {
+	if n.acting {
 		n.met = true
 	}
 	if !n.met {
--- a/internal/node/reports.go
+++ b/internal/node/reports.go
@@ -14,7 +14,7 @@
 
 func (n *Node) report(now time.Time, r *Request) {
 	l := n.lead
-	if l == nil {
+	if !n.acting {
 		n.reply(r, 421, workers.Elsewhere{Leader: n.election.Leader(now)}, 0)
 		return
 	}
--- a/internal/node/users.go
+++ b/internal/node/users.go
@@ -32,7 +32,7 @@
 
 // user serves a user's request if this node leads, else hands it on to the leader once.
 func (n *Node) user(now time.Time, r *Request, serve func(time.Time, *Request)) {
-	if n.lead != nil {
+	if n.acting {
 		if !n.lead.built {
 			n.refuse(r, 503, "the ledger is being read", comeBack)
 			return
--- a/internal/standin/cloud.go
+++ b/internal/standin/cloud.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"cmp"
 	"fmt"
 	"sort"
 	"time"
@@ -60,7 +61,7 @@
 }
 
 func newCloud(w *World) *Cloud {
-	c := &Cloud{w: w, machines: map[string]*machine{}, charters: map[string][]string{}, capacity: 6, flavors: map[string]fleet.Type{
+	c := &Cloud{w: w, machines: map[string]*machine{}, charters: map[string][]string{}, capacity: cmp.Or(w.Opt.Capacity, 6), flavors: map[string]fleet.Type{
 		"small": {Name: "small", CPUs: 4, Mem: 16, Price: 0.2, SpotPrice: 0.06, BootS: 3, Zones: []string{"a", "b"}},
 		"large": {Name: "large", CPUs: 16, Cards: 2, Mem: 64, Price: 0.9, SpotPrice: 0.3, BootS: 4, Zones: []string{"b"}},
 	}}
--- a/internal/standin/users.go
+++ b/internal/standin/users.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"cmp"
 	"fmt"
 	"time"
 
@@ -45,7 +46,7 @@
 	r := u.w.Rng
 	run := time.Duration(1+r.IntN(12)) * time.Second
 	s := jobs.Spec{ID: fmt.Sprintf("job-%06d", u.next), Class: fmt.Sprintf("class-%d", r.IntN(3)), Priority: jobs.Priority(r.IntN(4)),
-		Tasks: 1 + r.IntN(9), CPUs: float64(1 + r.IntN(3)), Mem: 2, Image: "img", ImageGB: 1, Spot: r.IntN(3) > 0,
+		Tasks: 1 + r.IntN(cmp.Or(u.w.Opt.Arrays, 9)), CPUs: float64(1 + r.IntN(3)), Mem: 2, Image: "img", ImageGB: 1, Spot: r.IntN(3) > 0,
 		OneZone: r.IntN(6) == 0, Estimate: run, Team: "none"}
 	u.next++
 	if len(u.w.Opt.Teams) > 0 {
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -31,6 +31,7 @@
 	model   *model
 	cuts    map[string]time.Time // link -> until when it is cut
 	started time.Time
+	stepped time.Duration // real time that the owners have taken
 	Log     *slog.Logger
 }
 
@@ -43,6 +44,8 @@
 	Cancel      time.Duration
 	Loss        float64 // share of messages that are lost
 	Late        float64 // share of requests that are held back and delivered late, after a cut
+	Capacity    int     // machines of a kind that the cloud has; 0: a few
+	Arrays      int     // a job has up to this many tasks; 0: a few
 	Tuning      config.Options
 }
 
@@ -200,7 +203,9 @@
 	}
 	cmds := c.queue
 	c.queue = nil
+	began := time.Now()
 	e := c.node.Step(w.local(c), cmds)
+	w.stepped += time.Since(began)
 	for _, r := range e.Replies {
 		if f, ok := r.Ref.(func(node.Reply)); ok {
 			f(r)
