Levels of the fleet instead of walks over it, with each report and each order

Cause, from a profile of the owners in the stand-in with 1,000 machines asked for: half of a leader's steps went into fuller, which walked all machines for each waiting job of each report; hold sorted the fleet by name and looked its holds up, preemption listed all tasks for each urgent job, size laid every job over every machine, saves encoded JSON four times a second. Now the fleet keeps its machines on levels by how full they are, a job counts its running tasks and zones as they change, and the order lists what waits. Questions at a takeover are paced by the processor's share and reach every machine on the roster (only 1,000 were asked). Calls to the state service and the peers have sockets of their own and their answers go first.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -54,7 +54,8 @@
 )
 
 const (
-	mostRent   = 50
+	// MostRent is the most machines of one rental, as the cloud's protocol has it; so are the others.
+	MostRent   = 50
 	mostDelete = 100
 	mostList   = 500
 )
@@ -258,7 +259,7 @@
 // the same name until it is answered; the name derives from the token, so no other
 // leader ever uses it.
 func (c *Cloud) Rent(now time.Time, k Kind, n int) {
-	n = min(n, mostRent)
+	n = min(n, MostRent)
 	c.kind(k).asking = true
 	c.counter++
 	name := fmt.Sprintf("r-%d-%d", c.token, c.counter)
--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -95,6 +95,7 @@
 	Running  time.Time // first seen running
 	Saving   bool
 	Stopping time.Time // when a stop was last sent
+	Seen     uint64    // the last look at its machine that found it
 	Stray    bool      // not ours to run: to be stopped, but it holds its place until gone
 }
 
@@ -113,9 +114,12 @@
 	unsaved   []int
 	reserve   int
 	Active    map[int]*Attempt
-	retry     []int         // tasks to be started again
-	next      int           // tasks from here on were never tried
-	RanSum    time.Duration // run time of the tasks seen from start to end
+	running   int            // active attempts seen running
+	began     time.Duration  // the sum of when those began, counted from the submission
+	zones     map[string]int // active attempts by zone, where the job's rules ask for it
+	retry     []int          // tasks to be started again
+	next      int            // tasks from here on were never tried
+	RanSum    time.Duration  // run time of the tasks seen from start to end
 	RanCount  int
 	BadHosts  map[string]bool
 	NotBefore time.Time // start nothing before this
@@ -125,7 +129,50 @@
 // NewJob makes a job that is not accepted yet.
 func NewJob(s Spec, submitted time.Time) *Job {
 	words := (s.Tasks + 63) / 64
-	return &Job{Spec: s, Submitted: submitted, done: make([]uint64, words), durable: make([]uint64, words), Active: map[int]*Attempt{}}
+	return &Job{Spec: s, Submitted: submitted, done: make([]uint64, words), durable: make([]uint64, words),
+		Active: map[int]*Attempt{}, zones: map[string]int{}}
+}
+
+// Attach makes the attempt the active one of its task.
+func (j *Job) Attach(a *Attempt) {
+	j.Active[a.Key.Task] = a
+	if j.OneZone || j.Spread {
+		j.zones[a.Zone]++
+	}
+}
+
+// Detach takes the attempt back, if it is the active one of its task.
+func (j *Job) Detach(a *Attempt) {
+	if j.Active[a.Key.Task] != a {
+		return
+	}
+	delete(j.Active, a.Key.Task)
+	if j.OneZone || j.Spread {
+		j.zones[a.Zone]--
+	}
+	if !a.Running.IsZero() {
+		j.running--
+		j.began -= a.Running.Sub(j.Submitted)
+	}
+}
+
+// SawRunning records that the attempt runs.
+func (j *Job) SawRunning(a *Attempt, now time.Time) {
+	if !a.Running.IsZero() {
+		return
+	}
+	a.Running = now
+	if j.Active[a.Key.Task] == a {
+		j.running++
+		j.began += now.Sub(j.Submitted)
+	}
+}
+
+// InZone is how many of the active attempts are in the zone, and how many are elsewhere;
+// it is counted only for jobs whose rules ask for it.
+func (j *Job) InZone(zone string) (here, elsewhere int) {
+	here = j.zones[zone]
+	return here, len(j.Active) - here
 }
 
 func bit(set []uint64, i int) bool { return set[i/64]>>(i%64)&1 == 1 }
@@ -185,12 +232,8 @@
 // Remaining is the task time still to run, by a per-task estimate.
 func (j *Job) Remaining(perTask time.Duration, now time.Time) time.Duration {
 	left := time.Duration(j.Tasks-j.NDone) * perTask
-	for _, a := range j.Active {
-		if !a.Running.IsZero() {
-			left -= min(now.Sub(a.Running), perTask*9/10)
-		}
-	}
-	return max(left, 0)
+	ran := time.Duration(j.running)*now.Sub(j.Submitted) - j.began
+	return max(left-min(ran, time.Duration(j.running)*perTask*9/10), 0)
 }
 
 // Wire is the state as users see it.
@@ -208,15 +251,7 @@
 }
 
 // RunningTasks counts the tasks seen running.
-func (j *Job) RunningTasks() int {
-	n := 0
-	for _, a := range j.Active {
-		if !a.Running.IsZero() {
-			n++
-		}
-	}
-	return n
-}
+func (j *Job) RunningTasks() int { return j.running }
 
 // chunkBits is how many tasks' results one ledger entry holds.
 const chunkBits = 2048
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -65,6 +65,7 @@
 	log     *slog.Logger
 	token   uint64
 	pages   map[string]*page
+	dirty   map[*page]bool // those with unsaved changes
 	entries map[string]*entry
 	next    int
 	seq     uint64
@@ -80,7 +81,7 @@
 
 // New makes the ledger of a new leadership. Load has to come first.
 func New(opt Options, token uint64, log *slog.Logger) *Ledger {
-	return &Ledger{opt: opt, log: log, token: token, pages: map[string]*page{}, entries: map[string]*entry{},
+	return &Ledger{opt: opt, log: log, token: token, pages: map[string]*page{}, dirty: map[*page]bool{}, entries: map[string]*entry{},
 		limit: outbox.NewLimiter(opt.WriteRate * 0.92), epoch: new(int)}
 }
 
@@ -189,7 +190,7 @@
 }
 
 // Set changes an entry. reserve is the most JSON bytes its value may come to need while
-// it lives; the entry never leaves its page. then, if given, is called with true once
+// it lives, 0 if it will not grow; the entry never leaves its page. then, if given, is called with true once
 // the change is durable, or with false if that has become doubtful; in that case the
 // change stays and goes on to be written.
 func (l *Ledger) Set(now time.Time, name string, v any, reserve int, urgent bool, then func(now time.Time, ok bool)) error {
@@ -197,11 +198,14 @@
 	if err != nil {
 		return fmt.Errorf("entry %s: %w", name, err)
 	}
-	text, err := json.Marshal(v)
-	if err != nil {
-		return fmt.Errorf("entry %s: %w", name, err)
+	if reserve == 0 {
+		text, err := json.Marshal(v)
+		if err != nil {
+			return fmt.Errorf("entry %s: %w", name, err)
+		}
+		reserve = len(text)
 	}
-	size := max(len(text), reserve) + len(name) + entryFrame
+	size := reserve + len(name) + entryFrame
 	e := l.entries[name]
 	if e == nil {
 		p := l.room(size)
@@ -249,6 +253,7 @@
 func (l *Ledger) touch(now time.Time, p *page, urgent bool, then func(time.Time, bool)) {
 	if !p.dirty {
 		p.dirty, p.since, p.urgent = true, now, false
+		l.dirty[p] = true
 	}
 	p.urgent = p.urgent || urgent
 	if then != nil {
@@ -294,12 +299,8 @@
 		return
 	}
 	var due []*page
-	anyUrgent := false
-	for _, p := range l.pages {
-		if p.dirty {
-			due = append(due, p)
-			anyUrgent = anyUrgent || p.urgent
-		}
+	for p := range l.dirty {
+		due = append(due, p)
 	}
 	if len(due) == 0 {
 		return
@@ -348,6 +349,7 @@
 		apply = append(apply, map[string]any{"write": p.key, "value": v})
 		t.waiters = append(t.waiters, p.waiters)
 		p.dirty, p.urgent, p.waiters = false, false, nil
+		delete(l.dirty, p)
 	}
 	l.flight = t
 	l.call(box, outbox.Call{Method: "POST", Path: "/commit", Timeout: 1500 * time.Millisecond,
@@ -409,6 +411,7 @@
 		p.waiters = append(t.waiters[i], p.waiters...)
 		if !p.dirty {
 			p.dirty, p.since = true, now
+			l.dirty[p] = true
 		}
 		p.urgent = true
 	}
--- a/internal/node/gangs.go
+++ b/internal/node/gangs.go
@@ -31,12 +31,14 @@
 	}
 	// What waits to be sent to a machine that is silent, or for a job that must not
 	// start any more, is taken back: it never left.
-	for _, m := range l.fleet.Machines {
-		for _, a := range m.Attempts {
-			if a.Unsent && (m.Draining != "" || !a.Job.Live() || now.Sub(a.Assigned) > 2*n.cfg.ReportEvery+time.Second) {
-				l.fleet.Unbook(m, a)
-				a.Job.Again(a.Key.Task)
-			}
+	for a, m := range l.booked {
+		switch {
+		case m.Attempts[a.Key] != a:
+			delete(l.booked, a) // its machine is gone
+		case m.Draining != "" || !a.Job.Live() || now.Sub(a.Assigned) > 2*n.cfg.ReportEvery+time.Second:
+			delete(l.booked, a)
+			l.fleet.Unbook(m, a)
+			a.Job.Again(a.Key.Task)
 		}
 	}
 }
@@ -114,7 +116,9 @@
 			if t < 0 {
 				return
 			}
-			n.attempt(now, s.m, j, t, number).Unsent = true
+			a := n.attempt(now, s.m, j, t, number)
+			a.Unsent = true
+			l.booked[a] = s.m
 		}
 	}
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -90,8 +90,15 @@
 	order    []plan.Entry
 	ordered  time.Time
 	stale    bool
-	holds    map[string]*jobs.Job // machine -> job that its free room is held for
+	waiting  []plan.Entry // those of the order that have tasks to start, gangs aside
+	least    float64      // the CPUs of the smallest of their tasks
+	held     []*workers.Machine
+	booked   map[*jobs.Attempt]*workers.Machine // starts of gangs that wait for their machines' reports
+	missing  []*workers.Machine                 // on the roster and not accounted for yet
+	mayAsk   float64                            // of those, how many may be asked directly now
+	nextLook time.Time
 	nextSize time.Time
+	nextRoom time.Time
 	nextSave time.Time
 	nextGang time.Time
 	nextDrop time.Time
@@ -286,7 +293,10 @@
 		return
 	}
 	n.takeGone(now)
-	n.expire(now)
+	if !now.Before(l.nextLook) {
+		l.nextLook = now.Add(200 * time.Millisecond)
+		n.expire(now)
+	}
 	if !l.placing {
 		n.account(now)
 	}
@@ -298,12 +308,15 @@
 		l.stale = true
 	}
 	if !now.Before(l.nextSave) {
-		l.nextSave = now.Add(250 * time.Millisecond)
+		l.nextSave = now.Add(time.Second)
 		n.save(now)
 	}
 	if l.placing && !now.Before(l.nextGang) {
 		l.nextGang = now.Add(200 * time.Millisecond)
 		n.gangs(now)
+	}
+	if l.placing && !now.Before(l.nextRoom) {
+		l.nextRoom = now.Add(500 * time.Millisecond)
 		n.makeRoom(now)
 	}
 	if l.placing && (!now.Before(l.nextSize) || l.cloud.TakeSettled()) {
--- a/internal/node/placing.go
+++ b/internal/node/placing.go
@@ -1,7 +1,9 @@
 package node
 
 import (
-	"sort"
+	"cmp"
+	"math"
+	"slices"
 	"time"
 
 	"gullrudder/internal/fleet"
@@ -41,60 +43,117 @@
 	}
 }
 
+// rankShare is how much of the processor's share may go into making the order, and rankCost
+// what it takes for a job (measured, with its hold: BenchmarkRank).
+const (
+	rankShare = 0.1
+	rankCost  = 3 * time.Microsecond
+)
+
+// rankEvery is how often the order is made anew at most.
+func (n *Node) rankEvery() time.Duration {
+	return max(100*time.Millisecond, time.Duration(float64(len(n.lead.jobs))*float64(rankCost)/(rankShare*n.cfg.CPUShare)))
+}
+
 // rank makes the order and the holds anew if something has changed.
 func (n *Node) rank(now time.Time) {
 	l := n.lead
-	if !l.stale || now.Sub(l.ordered) < 100*time.Millisecond {
+	if !l.stale || now.Sub(l.ordered) < n.rankEvery() {
 		return
 	}
 	l.stale, l.ordered = false, now
-	live := l.jobs
-	list := make([]*jobs.Job, 0, len(live))
-	for _, j := range live {
+	list := make([]*jobs.Job, 0, len(l.jobs))
+	for _, j := range l.jobs {
 		if j.Live() {
 			list = append(list, j)
 		}
 	}
 	l.order = l.planner.Order(now, list, n.room(now))
+	l.waiting, l.least = l.waiting[:0], math.Inf(1)
+	for _, e := range l.order {
+		if e.Job.Waiting() == 0 {
+			continue
+		}
+		l.least = min(l.least, e.Job.CPUs)
+		if !e.Job.Gang {
+			l.waiting = append(l.waiting, e)
+		}
+	}
 	n.hold(now)
 }
 
+// holdFor keeps the free room of a machine for a job.
+func (n *Node) holdFor(m *workers.Machine, j *jobs.Job) {
+	if m.HeldFor == nil {
+		n.lead.held = append(n.lead.held, m)
+	}
+	m.HeldFor = j
+}
+
 // hold keeps free room for the jobs that go first but fit nowhere yet, on the machines
 // with the most room, so that smaller tasks do not take it bit by bit.
 func (n *Node) hold(now time.Time) {
 	l := n.lead
-	clear(l.holds)
-	var free []*workers.Machine
+	for _, m := range l.held {
+		m.HeldFor = nil
+	}
+	l.held = l.held[:0]
+	var free []*workers.Machine // not held for a job, the most room first
 	for _, e := range l.order {
 		j := e.Job
+		if !e.Hold || j.Waiting() == 0 || now.Before(j.NotBefore) {
+			continue
+		}
 		want := n.wanted(j)
-		if !e.Hold || want == 0 || j.Gang && want < j.Waiting() || now.Before(j.NotBefore) {
+		if want == 0 || j.Gang && want < j.Waiting() {
 			continue
 		}
 		if free == nil {
-			free = l.fleet.Sorted()
-			sort.SliceStable(free, func(a, b int) bool { return free[a].CPUs-free[a].UsedCPU > free[b].CPUs-free[b].UsedCPU })
+			free = n.byRoom()
 		}
 		if j.Gang {
 			want -= n.holdWhole(j, free, want)
 		}
 		for _, m := range free {
-			if place.Usable(j, m) && l.holds[m.ID] == nil {
+			if want <= 0 || j.CPUs > 0 && m.CPUs-m.UsedCPU < j.CPUs-1e-6 {
+				break // sorted: the rest has less
+			}
+			if place.Usable(j, m) {
 				want -= m.Fits(j)
 			}
 		}
-		for _, m := range free {
-			if want <= 0 {
-				break
+		if want > 0 {
+			left := free[:0]
+			for _, m := range free {
+				if want > 0 && m.HeldFor == nil && place.Usable(j, m) && m.Fits(j) == 0 && m.CPUs >= j.CPUs && m.Mem >= j.Mem {
+					n.holdFor(m, j)
+					want--
+				}
+				if m.HeldFor == nil {
+					left = append(left, m)
+				}
 			}
-			if l.holds[m.ID] == nil && place.Usable(j, m) && m.Fits(j) == 0 && m.CPUs >= j.CPUs && m.Mem >= j.Mem {
-				l.holds[m.ID] = j
-				want--
+			if free = left; len(free) == 0 {
+				return
 			}
 		}
 	}
 }
 
+// byRoom lists the machines that are up, those with the most free CPUs first.
+func (n *Node) byRoom() []*workers.Machine {
+	list := make([]*workers.Machine, 0, len(n.lead.fleet.Machines))
+	for level := 1; level <= workers.Levels; level++ {
+		list = append(list, n.lead.fleet.Level(level)...)
+	}
+	slices.SortFunc(list, func(a, b *workers.Machine) int {
+		return cmp.Or(cmp.Compare(b.CPUs-b.UsedCPU, a.CPUs-a.UsedCPU), compareIDs(a, b))
+	})
+	return list
+}
+
+func compareIDs(a, b *workers.Machine) int { return cmp.Compare(a.ID, b.ID) }
+
 // wanted is how many tasks of the job need room now: those that wait, less what the
 // team's limit forbids.
 func (n *Node) wanted(j *jobs.Job) int {
@@ -109,9 +168,9 @@
 		if covered >= want {
 			break
 		}
-		if n.lead.holds[m.ID] == nil && place.Usable(j, m) {
+		if m.HeldFor == nil && place.Usable(j, m) {
 			if c := m.Holds(j); c > 0 {
-				n.lead.holds[m.ID] = j
+				n.holdFor(m, j)
 				covered += c
 			}
 		}
@@ -126,27 +185,23 @@
 		return nil
 	}
 	n.rank(now)
-	var list []workers.Command
-	for _, a := range m.Attempts {
-		if a.Unsent && !a.Stray && a.Job.Live() && len(list) < most {
-			a.Unsent, a.Assigned = false, now
-			list = append(list, workers.Start(a.Key.String(), a.Number))
-		}
-	}
-	for _, e := range l.order {
-		if len(list) >= most || m.UsedCPU >= m.CPUs-1e-6 && m.UsedMem >= m.Mem-1e-6 {
+	list := n.bookedStarts(now, m, most)
+	for _, e := range l.waiting {
+		free := m.Free()
+		if len(list) >= most || free.CPUs < l.least-1e-6 {
 			break
 		}
 		j := e.Job
-		if j.Gang || j.Waiting() == 0 || !j.Live() || now.Before(j.NotBefore) || !place.Usable(j, m) {
+		count := min(free.Fits(j), j.Waiting(), most-len(list))
+		if count <= 0 || !j.Live() || now.Before(j.NotBefore) || !place.Usable(j, m) {
 			continue
 		}
-		if h := l.holds[m.ID]; h != nil && h != j && !e.Hold {
+		if h := m.HeldFor; h != nil && h != j && !e.Hold {
 			continue
 		}
-		count := min(m.Fits(j), place.ZoneRoom(j, m.Zone), place.TeamRoom(j, n.teams[j.Team], l.fleet.Team(j.Team)), most-len(list))
+		count = min(count, place.ZoneRoom(j, m.Zone), place.TeamRoom(j, n.teams[j.Team], l.fleet.Team(j.Team)))
 		if count > 0 {
-			count = min(count, j.Waiting()-n.fuller(now, j, m))
+			count = min(count, j.Waiting()-n.fuller(now, j, m, mostLooked))
 		}
 		for ; count > 0; count-- {
 			t := j.NextTask()
@@ -163,6 +218,23 @@
 	return list
 }
 
+// bookedStarts are the starts of gangs that have waited for the machine's report.
+func (n *Node) bookedStarts(now time.Time, m *workers.Machine, most int) []workers.Command {
+	l := n.lead
+	var list []workers.Command
+	if len(l.booked) == 0 {
+		return nil
+	}
+	for _, a := range m.Attempts {
+		if a.Unsent && !a.Stray && a.Job.Live() && len(list) < most {
+			a.Unsent, a.Assigned = false, now
+			delete(l.booked, a)
+			list = append(list, workers.Start(a.Key.String(), a.Number))
+		}
+	}
+	return list
+}
+
 // nextNumber is a new attempt number. It derives from the token, so no other leader ever
 // uses it.
 func (n *Node) nextNumber() uint64 {
@@ -178,16 +250,30 @@
 	return a
 }
 
+// mostLooked bounds the machines that are looked at for one job of one report: the cost of
+// a report must not grow with the fleet. Packing loses little by it: where so many fuller
+// machines have no room for the job, there is little room at all.
+const mostLooked = 64
+
 // fuller is how many tasks of the job fit on machines that are fuller than m and report
-// soon: those are left to them.
-func (n *Node) fuller(now time.Time, j *jobs.Job, m *workers.Machine) int {
+// soon: those are left to them. More than the job's waiting tasks are not counted.
+func (n *Node) fuller(now time.Time, j *jobs.Job, m *workers.Machine, most int) int {
 	l := n.lead
-	room := 0
-	for _, o := range l.fleet.Machines {
-		if o != m && o.Accounted && o.Rostered && now.Sub(o.Answered) < 2*n.cfg.ReportEvery && !now.Before(o.RoomFrom) &&
-			place.Fuller(o, m) && place.Usable(j, o) && (l.holds[o.ID] == nil || l.holds[o.ID] == j) {
-			room += min(o.Fits(j), place.ZoneRoom(j, o.Zone))
+	room, want := 0, j.Waiting()
+	from := workers.Levels
+	if j.CPUs > 0 {
+		from-- // on the last level no CPU is free
+	}
+	for level := from; level >= m.LevelOf(); level-- {
+		for _, o := range l.fleet.Level(level) {
+			if most--; most < 0 || room >= want {
+				return min(room, want)
+			}
+			if o != m && o.Accounted && o.Rostered && now.Sub(o.Answered) < 2*n.cfg.ReportEvery && !now.Before(o.RoomFrom) &&
+				(level > m.LevelOf() || place.Fuller(o, m)) && place.Usable(j, o) && (o.HeldFor == nil || o.HeldFor == j) {
+				room += min(o.Fits(j), place.ZoneRoom(j, o.Zone))
+			}
 		}
 	}
-	return room
+	return min(room, want)
 }
--- a/internal/node/preempt.go
+++ b/internal/node/preempt.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -11,6 +12,18 @@
 	"gullrudder/internal/workers"
 )
 
+// victim is a running task that may be stopped for another job.
+type victim struct {
+	m *workers.Machine
+	a *jobs.Attempt
+}
+
+// opening is a machine that has free room or where room is about to come free.
+type opening struct {
+	m       *workers.Machine
+	leaving float64 // CPUs of what is being stopped
+}
+
 // makeRoom stops best-effort tasks where a guaranteed job would otherwise miss its
 // deadline. For a team's guarantee the protocol would allow it too; that was tried and
 // gained nothing, since stopping and saving take as long as waiting. Only tasks that save
@@ -18,77 +31,91 @@
 func (n *Node) makeRoom(now time.Time) {
 	l := n.lead
 	n.rank(now)
-	for _, e := range l.order {
+	var victims []victim
+	var open []opening
+	looked := false
+	for _, e := range l.waiting {
 		j := e.Job
-		if !e.Planned {
+		if !e.Planned || !urgent(now, e, n.cfg.ReportEvery) {
 			continue
 		}
 		want := n.wanted(j)
-		if want == 0 || j.Gang || !n.urgent(now, e) {
+		if want == 0 {
 			continue
 		}
-		for _, m := range l.fleet.Machines {
-			if place.Usable(j, m) && m.Accounted {
-				want -= m.Fits(j) + n.leaving(m, j)
+		if !looked {
+			looked = true
+			open, victims = n.lookForRoom(now)
+		}
+		for _, o := range open {
+			if want <= 0 {
+				break
+			}
+			if place.Usable(j, o.m) {
+				want -= o.m.Fits(j)
+				if j.CPUs > 0 {
+					want -= int(o.leaving / j.CPUs)
+				}
 			}
 		}
 		if want > 0 {
-			n.stopFor(now, j, want)
+			n.stopFor(now, j, want, victims)
 		}
 	}
 }
 
 // urgent reports whether waiting for room that comes free by itself would be too late.
-func (n *Node) urgent(now time.Time, e plan.Entry) bool {
-	return plan.Due(e.Job).Sub(now) < e.PerTask+2*n.cfg.ReportEvery+5*time.Second
-}
-
-// leaving is how many tasks of the job fit into what is being stopped on the machine.
-func (n *Node) leaving(m *workers.Machine, j *jobs.Job) int {
-	cpus := 0.0
-	for _, a := range m.Attempts {
-		if !a.Stopping.IsZero() && a.Job != nil {
-			cpus += a.Job.CPUs
-		}
-	}
-	if j.CPUs <= 0 {
-		return 0
-	}
-	return int(cpus / j.CPUs)
+func urgent(now time.Time, e plan.Entry, reportEvery time.Duration) bool {
+	return plan.Due(e.Job).Sub(now) < e.PerTask+2*reportEvery+5*time.Second
 }
 
-// stopFor stops the newest of the tasks that may be stopped for the job.
-func (n *Node) stopFor(now time.Time, j *jobs.Job, want int) {
-	l := n.lead
-	type victim struct {
-		m *workers.Machine
-		a *jobs.Attempt
-	}
-	var list []victim
-	for _, m := range l.fleet.Sorted() {
-		if !place.Usable(j, m) || !m.Accounted || now.Sub(m.Answered) > 2*n.cfg.ReportEvery || place.ZoneRoom(j, m.Zone) == 0 {
+// lookForRoom walks the machines once for all jobs that need room: where it is or is about
+// to be, and what may be stopped, the newest first.
+func (n *Node) lookForRoom(now time.Time) ([]opening, []victim) {
+	var open []opening
+	var victims []victim
+	for _, m := range n.lead.fleet.Machines {
+		if !m.Accounted {
 			continue
 		}
+		fresh := now.Sub(m.Answered) <= 2*n.cfg.ReportEvery
+		o := opening{m: m}
 		for _, a := range m.Attempts {
-			if yields(now, a, j) {
-				list = append(list, victim{m, a})
+			switch {
+			case !a.Stopping.IsZero() && a.Job != nil:
+				o.leaving += a.Job.CPUs
+			case fresh && stoppable(now, a):
+				victims = append(victims, victim{m, a})
 			}
 		}
+		if o.leaving > 0 || m.LevelOf() < workers.Levels {
+			open = append(open, o)
+		}
 	}
-	sort.Slice(list, func(x, y int) bool {
-		a, b := list[x].a, list[y].a
+	slices.SortFunc(open, func(x, y opening) int { return compareIDs(x.m, y.m) })
+	sort.Slice(victims, func(x, y int) bool {
+		a, b := victims[x].a, victims[y].a
 		if !a.Assigned.Equal(b.Assigned) {
 			return a.Assigned.After(b.Assigned)
 		}
 		return a.Number > b.Number
 	})
-	for _, v := range list {
+	return open, victims
+}
+
+// stopFor stops the newest of the tasks that may be stopped for the job.
+func (n *Node) stopFor(now time.Time, j *jobs.Job, want int, victims []victim) {
+	l := n.lead
+	for _, v := range victims {
 		if want <= 0 {
 			return
 		}
+		if !v.a.Stopping.IsZero() || v.a.Job.Priority >= j.Priority || !place.Usable(j, v.m) || place.ZoneRoom(j, v.m.Zone) == 0 {
+			continue
+		}
 		v.a.Stopping = now
 		want -= max(int(v.a.Job.CPUs/max(j.CPUs, 0.1)), 1)
-		l.holds[v.m.ID] = j
+		n.holdFor(v.m, j)
 		n.log.Info("stopping a task for another job", "task", v.a.Key, "machine", v.m.ID, "for", j.ID)
 		n.box.Add(outbox.Call{Service: outbox.Worker, Addr: v.m.Addr, Method: "POST", Path: "/commands",
 			Body: workers.Direct{Token: l.token, Session: v.m.Session,
@@ -98,13 +125,10 @@
 	}
 }
 
-// yields reports whether the rules for preemption allow to stop the attempt for the job,
-// and whether little is lost by it: it saves.
-func yields(now time.Time, a *jobs.Attempt, j *jobs.Job) bool {
+// stoppable reports whether the attempt may be stopped for a job of a higher priority with
+// little lost: it saves.
+func stoppable(now time.Time, a *jobs.Attempt) bool {
 	v := a.Job
-	if v == nil || a.Stray || a.Unsent || !a.Stopping.IsZero() || a.Running.IsZero() || v.Gang || v.Service || v.Guaranteed ||
-		v.Checkpoint <= 0 || now.Sub(a.Running) < v.Save {
-		return false
-	}
-	return v.Priority < j.Priority
+	return v != nil && !a.Stray && !a.Unsent && a.Stopping.IsZero() && !a.Running.IsZero() && !v.Gang && !v.Service && !v.Guaranteed &&
+		v.Checkpoint > 0 && now.Sub(a.Running) >= v.Save
 }
--- a/internal/node/reports.go
+++ b/internal/node/reports.go
@@ -6,6 +6,7 @@
 	"gullrudder/internal/fleet"
 	"gullrudder/internal/jobs"
 	"gullrudder/internal/packed"
+	"gullrudder/internal/place"
 	"gullrudder/internal/workers"
 )
 
@@ -51,7 +52,7 @@
 	l := n.lead
 	l.cloud.Seen(now, rep.Machine, rep.Addr, fleet.Kind{Type: rep.Type, Zone: rep.Zone, Spot: rep.Spot})
 	if t := l.cloud.Types[rep.Type]; t != nil && m.CPUs+m.Mem+m.Cards == 0 {
-		m.CPUs, m.Cards, m.Mem = t.CPUs, t.Cards, t.Mem
+		l.fleet.Measure(m, place.Size(t))
 	}
 	if m.Rostered || m.Enrolling {
 		return
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -14,7 +14,7 @@
 
 const (
 	queueLength = 4096
-	batch       = 256
+	batch       = 128
 )
 
 type arrived struct {
@@ -24,23 +24,38 @@
 
 // Runtime connects a node with the clock and the network.
 type Runtime struct {
-	node   *Node
-	cfg    *config.Platform
-	log    *slog.Logger
-	queue  chan Command
-	client *httpwire.Client
+	node *Node
+	cfg  *config.Platform
+	log  *slog.Logger
+	// Answers to our calls, the renewal's among them, do not queue behind requests.
+	queue    chan Command
+	outcomes chan Command
+	clients  map[outbox.Service]*httpwire.Client
 }
 
 // NewRuntime makes the runtime of a node.
 func NewRuntime(n *Node, cfg *config.Platform, log *slog.Logger) *Runtime {
-	outgoing := max(cfg.Connections/6, 8)
-	return &Runtime{node: n, cfg: cfg, log: log, queue: make(chan Command, queueLength),
-		client: httpwire.NewClient(outgoing, 4, 16<<20)}
+	// The server has three quarters of the sockets. Each far side has a part of the rest, so
+	// that no bulk work leaves the renewal or the other controllers without one. Questions to
+	// workers are asked once: their connections are not kept.
+	share := max(cfg.Connections/12, 4)
+	return &Runtime{node: n, cfg: cfg, log: log, queue: make(chan Command, queueLength), outcomes: make(chan Command, queueLength),
+		clients: map[outbox.Service]*httpwire.Client{
+			outbox.State:  httpwire.NewClient(max(share/4, 4), 4, largest),
+			outbox.Cloud:  httpwire.NewClient(max(share/4, 4), 4, largest),
+			outbox.Peer:   httpwire.NewClient(share, 8, largest),
+			outbox.Worker: httpwire.NewClient(share, 0, largest),
+		}}
 }
 
+// largest bounds the answers that are read: the cloud's lists and the ledger's pages.
+const largest = 16 << 20
+
 // Serve runs the node for ever.
 func (rt *Runtime) Serve() {
-	// Half of the memory that is ours is left to what the collector does not count.
+	// The collector runs seldom as long as there is memory: it takes from the same processor.
+	// Two fifths of the memory that is ours are left to what the collector does not count.
+	debug.SetGCPercent(400)
 	debug.SetMemoryLimit(int64(rt.cfg.MemoryMB * 0.6 * (1 << 20)))
 	go rt.listen()
 	ticker := time.NewTicker(tickEvery)
@@ -49,23 +64,31 @@
 	for {
 		commands = commands[:0]
 		select {
+		case c := <-rt.outcomes:
+			commands = append(commands, c)
 		case c := <-rt.queue:
 			commands = append(commands, c)
 		case <-ticker.C:
 		}
-	more:
-		for len(commands) < batch {
-			select {
-			case c := <-rt.queue:
-				commands = append(commands, c)
-			default:
-				break more
-			}
-		}
+		commands = drain(rt.outcomes, commands)
+		commands = drain(rt.queue, commands)
 		rt.carryOut(rt.node.Step(time.Now(), commands))
 	}
 }
 
+// drain takes what waits in a queue, up to a whole batch.
+func drain(queue <-chan Command, commands []Command) []Command {
+	for len(commands) < batch {
+		select {
+		case c := <-queue:
+			commands = append(commands, c)
+		default:
+			return commands
+		}
+	}
+	return commands
+}
+
 func (rt *Runtime) listen() {
 	server := httpwire.NewServer(httpwire.ServerOptions{Public: rt.cfg.Public, Peer: rt.cfg.PeerBind,
 		MaxConns: max(rt.cfg.Connections*3/4, 8), Idle: 75 * time.Second, Slow: 10 * time.Second,
@@ -112,7 +135,7 @@
 	if c.After > 0 {
 		time.Sleep(c.After)
 	}
-	rt.queue <- Command{Outcome: &Outcome{Call: c, Result: rt.exchange(c)}}
+	rt.outcomes <- Command{Outcome: &Outcome{Call: c, Result: rt.exchange(c)}}
 }
 
 func (rt *Runtime) exchange(c outbox.Call) outbox.Result {
@@ -131,7 +154,7 @@
 			return outbox.Result{Err: err}
 		}
 	}
-	msg, err := rt.client.Do(addr, c.Method, c.Path, body, c.Timeout)
+	msg, err := rt.clients[c.Service].Do(addr, c.Method, c.Path, body, c.Timeout)
 	if err != nil {
 		rt.log.Debug("a call failed", "error", err)
 		return outbox.Result{Err: err}
--- a/internal/node/sizing.go
+++ b/internal/node/sizing.go
@@ -53,48 +53,27 @@
 	if len(l.cloud.Types) == 0 || !l.first && (l.cloud.Lists == 0 || now.Sub(l.since) < n.cfg.ListLag) {
 		return
 	}
-	// Room that is there or coming, per machine; the waiting tasks are laid into it.
-	var room []*workers.Machine
-	have := 0.0
-	for id, h := range l.cloud.Hosts {
-		t := l.cloud.Types[h.Kind.Type]
-		if t == nil || h.Deleting || h.State == fleet.Failed {
-			continue
-		}
-		if m := l.fleet.Machines[id]; m != nil && m.Up {
-			if m.Draining == "" && !l.fleet.Expired(now, m) {
-				have += m.CPUs
-				room = append(room, &workers.Machine{ID: id, Type: m.Type, Zone: m.Zone, Spot: m.Spot, CPUs: m.CPUs, Cards: m.Cards, Mem: m.Mem,
-					UsedCPU: m.UsedCPU, UsedCards: m.UsedCards, UsedMem: m.UsedMem})
-			}
-			continue
-		}
-		have += t.CPUs
-		room = append(room, virtual(h.Kind, t))
-	}
-	total := 0.0
-	for _, e := range l.order {
-		total += e.Work
-	}
 	opts := n.options()
 	if len(opts) == 0 {
 		return
 	}
 	cheapest := opts[0].price
+	// Room that is there or coming, per machine; the waiting tasks are laid into it.
+	f := n.forecast(now)
+	total := 0.0
+	for _, e := range l.order {
+		total += e.Work
+	}
 	n.shed(opts, total)
 	asked := map[fleet.Kind]int{}
 	for _, e := range l.order {
 		j := e.Job
-		want := n.wanted(j)
-		for _, m := range room {
-			if want <= 0 {
-				break
-			}
-			if place.KindAllowed(j, place.Kind(m)) {
-				want -= take(m, j.CPUs, j.Cards, j.Mem, min(m.Fits(j), want))
-			}
+		if j.Waiting() == 0 {
+			continue
 		}
-		lacking := needed(j) - capacity(j, room)
+		want := n.wanted(j)
+		want -= f.lay(j, want)
+		lacking := needed(j) - f.capacity(j)
 		for _, o := range opts {
 			per := place.PerMachine(j, o.typ)
 			if want <= 0 {
@@ -104,13 +83,11 @@
 				continue
 			}
 			worth := n.worth(o.price, cheapest)
-			for want > 0 && asked[o.kind] < 50 && (lacking > 0 || total > have*worth) {
+			for want > 0 && asked[o.kind] < fleet.MostRent && (lacking > 0 || total > f.cpus*worth) {
 				asked[o.kind]++
-				have += o.typ.CPUs
-				m := virtual(o.kind, o.typ)
+				f.add(o.kind, o.typ)
 				lacking -= per
-				want -= take(m, j.CPUs, j.Cards, j.Mem, min(per, want))
-				room = append(room, m)
+				want -= f.take(len(f.open)-1, j, min(per, want))
 			}
 		}
 	}
@@ -121,6 +98,86 @@
 	}
 }
 
+// forecast is the room of the machines that are there or booting.
+type forecast struct {
+	cpus  float64
+	open  []slot // those on which something may still fit
+	kinds map[fleet.Kind]*kindRoom
+	least float64 // CPUs of the smallest task that waits
+}
+
+type slot struct {
+	kind fleet.Kind
+	free workers.Room
+}
+
+type kindRoom struct {
+	size  workers.Room
+	count int
+}
+
+func (n *Node) forecast(now time.Time) *forecast {
+	l := n.lead
+	f := &forecast{kinds: map[fleet.Kind]*kindRoom{}, least: l.least}
+	for id, h := range l.cloud.Hosts {
+		t := l.cloud.Types[h.Kind.Type]
+		if t == nil || h.Deleting || h.State == fleet.Failed {
+			continue
+		}
+		m := l.fleet.Machines[id]
+		if m == nil || !m.Up {
+			f.add(h.Kind, t)
+			continue
+		}
+		if m.Draining == "" && !l.fleet.Expired(now, m) {
+			f.add(h.Kind, t)
+			f.open[len(f.open)-1].free = m.Free()
+		}
+	}
+	return f
+}
+
+func (f *forecast) add(k fleet.Kind, t *fleet.Type) {
+	f.cpus += t.CPUs
+	f.open = append(f.open, slot{k, place.Size(t)})
+	r := f.kinds[k]
+	if r == nil {
+		r = &kindRoom{size: place.Size(t)}
+		f.kinds[k] = r
+	}
+	r.count++
+}
+
+func (f *forecast) take(i int, j *jobs.Job, count int) int {
+	f.open[i].free = f.open[i].free.Take(j, count)
+	return count
+}
+
+// lay takes room for up to want tasks of the job and returns how many found some. What is
+// full is dropped on the way, so that a fleet under load is walked only once.
+func (f *forecast) lay(j *jobs.Job, want int) int {
+	found, left := 0, 0
+	for i := range f.open {
+		if found >= want {
+			if left == i {
+				return found
+			}
+			left += copy(f.open[left:], f.open[i:])
+			f.open = f.open[:left]
+			return found
+		}
+		if fit := f.open[i].free.Fits(j); fit > 0 && place.KindAllowed(j, f.open[i].kind) {
+			found += f.take(i, j, min(fit, want-found))
+		}
+		if f.open[i].free.CPUs >= f.least-1e-6 {
+			f.open[left] = f.open[i]
+			left++
+		}
+	}
+	f.open = f.open[:left]
+	return found
+}
+
 // needed is how many of its tasks must have a place at the same time for a job ever to
 // get anywhere.
 func needed(j *jobs.Job) int {
@@ -132,14 +189,11 @@
 
 // capacity is how many tasks of the job the machines would hold if nothing else ran.
 // However small the work at hand: what has no place at all gets one.
-func capacity(j *jobs.Job, room []*workers.Machine) int {
+func (f *forecast) capacity(j *jobs.Job) int {
 	n := 0
-	for _, m := range room {
-		if n >= needed(j) {
-			break
-		}
-		if place.KindAllowed(j, place.Kind(m)) {
-			n += m.Holds(j)
+	for k, r := range f.kinds {
+		if place.KindAllowed(j, k) {
+			n += r.count * r.size.Fits(j)
 		}
 	}
 	return n
@@ -179,18 +233,6 @@
 	}
 }
 
-func virtual(k fleet.Kind, t *fleet.Type) *workers.Machine {
-	return &workers.Machine{Type: k.Type, Zone: k.Zone, Spot: k.Spot, CPUs: t.CPUs, Cards: t.Cards, Mem: t.Mem}
-}
-
-func take(m *workers.Machine, cpus, cards, mem float64, count int) int {
-	k := float64(count)
-	m.UsedCPU += k * cpus
-	m.UsedCards += k * cards
-	m.UsedMem += k * mem
-	return count
-}
-
 const silent = "silent"
 
 // dropSilent deletes machines whose workers have stopped to report: the cloud's answer
--- a/internal/node/takeover.go
+++ b/internal/node/takeover.go
@@ -31,7 +31,7 @@
 func (n *Node) takeOver(now time.Time) {
 	token := n.election.Token()
 	l := &leadership{token: token, since: now, jobs: map[string]*jobs.Job{}, finals: map[string]final{},
-		planner: plan.New(n.opt, n.cfg), holds: map[string]*jobs.Job{}, probes: map[string]time.Time{}}
+		planner: plan.New(n.opt, n.cfg), booked: map[*jobs.Attempt]*workers.Machine{}, probes: map[string]time.Time{}}
 	l.ledger = ledger.New(ledger.Options{LeaderKey: leader.Key, ValueBytes: n.cfg.ValueBytes, TxnOps: n.cfg.TxnOps,
 		WriteRate: n.cfg.StateWrites, Quiet: 500 * time.Millisecond}, token, n.log)
 	l.cloud = fleet.New(token, n.cfg.CloudRate, n.cfg.ListLag, n.log)
@@ -101,32 +101,52 @@
 		}
 		n.finish(now, j)
 	}
+	for _, m := range l.fleet.Sorted() {
+		if m.Rostered {
+			l.missing = append(l.missing, m)
+		}
+	}
 	l.built, l.stale = true, true
 	l.first = len(l.jobs)+len(l.finals)+len(l.fleet.Machines) == 0
 	n.log.Info("ledger taken over", "token", l.token, "jobs", len(l.jobs), "finals", len(l.finals), "machines", len(l.fleet.Machines))
 	n.account(now)
 }
 
+// askAgain is how long a worker may take to show our token before it is asked (again).
+const askAgain = 1500 * time.Millisecond
+
+// askRate is how many workers a second are asked directly during a takeover. A question is a
+// connection and two messages, under half a millisecond of the processor; at this rate less
+// than half of the share goes into questions, and reports, users and the renewal keep theirs.
+func (n *Node) askRate() float64 { return 1000 * n.cfg.CPUShare }
+
 // account begins to place once every machine on the roster is accounted for. It asks
 // the workers directly: the empty command raises their token, so that nothing of an
 // earlier leader is executed any more, and its answer is their report.
 func (n *Node) account(now time.Time) {
 	l := n.lead
-	missing := 0
-	for _, m := range l.fleet.Sorted() {
-		if !m.Rostered || m.Accounted {
+	still := l.missing[:0]
+	for _, m := range l.missing {
+		if !m.Rostered || m.Accounted || l.cloud.Dead(m.ID) || l.fleet.Expired(now, m) {
 			continue
 		}
-		if l.cloud.Dead(m.ID) || l.fleet.Expired(now, m) {
-			continue
+		still = append(still, m)
+	}
+	l.missing = still
+	l.mayAsk = min(l.mayAsk+n.askRate()*tickEvery.Seconds(), float64(n.cfg.Connections)/24)
+	for _, m := range l.missing {
+		if l.mayAsk < 1 {
+			break
 		}
-		missing++
-		if m.Addr != "" && !now.Before(l.probes[m.ID]) && len(l.probes) < 1000 {
-			l.probes[m.ID] = now.Add(1500 * time.Millisecond)
-			n.probe(m, max(m.Session, 1), 3)
+		// A machine that has just got its first answer reports again at once.
+		if m.Addr == "" || now.Before(l.probes[m.ID]) || m.Answered.After(l.since) && now.Sub(m.Answered) < askAgain {
+			continue
 		}
+		l.mayAsk--
+		l.probes[m.ID] = now.Add(askAgain)
+		n.probe(m, max(m.Session, 1), 3)
 	}
-	if missing == 0 {
+	if len(l.missing) == 0 {
 		l.placing, l.stale = true, true
 		n.log.Info("placing begins", "token", l.token, "after", now.Sub(l.since).Round(time.Millisecond))
 	}
@@ -182,7 +202,7 @@
 			continue
 		}
 		n.ended(now, m, l.fleet.Clear(m))
-		delete(l.fleet.Machines, id)
+		l.fleet.Remove(m)
 		l.ledger.Drop(now, rosterPrefix+id)
 	}
 }
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -34,9 +34,12 @@
 	return j.CPUs <= t.CPUs+grain && j.Cards <= t.Cards+grain && j.Mem <= t.Mem+grain
 }
 
+// Size is what an empty machine of the type has.
+func Size(t *fleet.Type) workers.Room { return workers.Room{CPUs: t.CPUs, Cards: t.Cards, Mem: t.Mem} }
+
 // PerMachine is how many tasks an empty machine of the type holds.
 func PerMachine(j *jobs.Job, t *fleet.Type) int {
-	return (&workers.Machine{CPUs: t.CPUs, Cards: t.Cards, Mem: t.Mem}).Fits(j)
+	return Size(t).Fits(j)
 }
 
 // ZoneRoom is how many more tasks of the job may be put into the zone, given where its
@@ -45,14 +48,7 @@
 	if !j.OneZone && !j.Spread {
 		return j.Tasks
 	}
-	here, elsewhere := 0, 0
-	for _, a := range j.Active {
-		if a.Zone == zone {
-			here++
-		} else {
-			elsewhere++
-		}
-	}
+	here, elsewhere := j.InZone(zone)
 	if j.OneZone && elsewhere > 0 {
 		return 0
 	}
@@ -88,7 +84,7 @@
 
 // Usable reports whether tasks of the job may be started on the machine if there is room.
 func Usable(j *jobs.Job, m *workers.Machine) bool {
-	return m.Draining == "" && m.CPUs+m.Mem > 0 && !m.Failed[j.ID] && KindAllowed(j, Kind(m))
+	return m.Draining == "" && m.CPUs+m.Mem > 0 && (len(m.Failed) == 0 || !m.Failed[j.ID]) && KindAllowed(j, Kind(m))
 }
 
 // RoundUp is the room that a guaranteed job is planned with: a power-of-two share of a
--- /dev/null
+++ b/internal/steady/steady.go
@@ -0,0 +1,23 @@
+// Package steady makes the random tests of a package draw the same cases in every run, so
+// that a verdict does not change by itself.
+package steady
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+)
+
+// Main runs a package's tests with rapid's seed fixed; a seed of one's own is given with
+// -rapid.seed.
+func Main(m *testing.M) {
+	flag.Parse()
+	if f := flag.Lookup("rapid.seed"); f != nil && f.Value.String() == f.DefValue {
+		if err := f.Value.Set("20"); err != nil {
+			fmt.Fprintln(os.Stderr, "rapid's seed:", err)
+			os.Exit(2)
+		}
+	}
+	os.Exit(m.Run())
+}
--- a/internal/workers/workers.go
+++ b/internal/workers/workers.go
@@ -31,29 +31,47 @@
 	IdleSince time.Time
 	RoomFrom  time.Time       // no start before this, after a refusal for room
 	Failed    map[string]bool // jobs that ended here with an error
+	HeldFor   *jobs.Job       // the job that its free room is held for
+
+	level, slot int // where it stands in the fleet's levels; level 0: nowhere
 }
 
 const grain = 1e-6
 
-// Fits is how many more tasks of the job the machine has room for.
-func (m *Machine) Fits(j *jobs.Job) int {
-	n := j.Tasks
-	for _, r := range [...]struct{ need, free float64 }{
-		{j.CPUs, m.CPUs - m.UsedCPU}, {j.Cards, m.Cards - m.UsedCards}, {j.Mem, m.Mem - m.UsedMem},
-	} {
-		if r.need > 0 {
-			n = min(n, int((r.free+grain)/r.need))
-		}
+// Room is what tasks take or find on a machine.
+type Room struct{ CPUs, Cards, Mem float64 }
+
+// Fits is how many tasks of the job there is room for.
+func (r Room) Fits(j *jobs.Job) int {
+	n := fits(j.Tasks, j.CPUs, r.CPUs)
+	n = fits(n, j.Cards, r.Cards)
+	return max(fits(n, j.Mem, r.Mem), 0)
+}
+
+func fits(n int, need, free float64) int {
+	if need <= 0 {
+		return n
 	}
-	return max(n, 0)
+	return min(n, int((free+grain)/need))
 }
 
-// Holds is how many tasks of the job the machine has room for when nothing else runs.
-func (m *Machine) Holds(j *jobs.Job) int {
-	empty := Machine{CPUs: m.CPUs, Cards: m.Cards, Mem: m.Mem}
-	return empty.Fits(j)
+// Take is the room that is left beside so many tasks of the job.
+func (r Room) Take(j *jobs.Job, tasks int) Room {
+	k := float64(tasks)
+	return Room{r.CPUs - k*j.CPUs, r.Cards - k*j.Cards, r.Mem - k*j.Mem}
 }
 
+// Free is the room that is not taken.
+func (m *Machine) Free() Room {
+	return Room{m.CPUs - m.UsedCPU, m.Cards - m.UsedCards, m.Mem - m.UsedMem}
+}
+
+// Fits is how many more tasks of the job the machine has room for.
+func (m *Machine) Fits(j *jobs.Job) int { return m.Free().Fits(j) }
+
+// Holds is how many tasks of the job the machine has room for when nothing else runs.
+func (m *Machine) Holds(j *jobs.Job) int { return Room{m.CPUs, m.Cards, m.Mem}.Fits(j) }
+
 func (m *Machine) add(a *jobs.Attempt) {
 	m.Attempts[a.Key] = a
 	if a.Job != nil {
@@ -98,6 +116,8 @@
 type Fleet struct {
 	Machines map[string]*Machine
 	Teams    map[string]*Usage
+	levels   [Levels + 1][]*Machine // the machines that are up, by how full they are
+	looks    uint64                 // reports taken in
 	lease    time.Duration
 	log      *slog.Logger
 }
@@ -128,6 +148,54 @@
 	return list
 }
 
+// Levels is into how many groups the machines that are up are divided by the share of their
+// CPUs that is taken. On the last one no CPU is free.
+const Levels = 17
+
+// Level lists the machines of a level, 1 to Levels. It is for looking only.
+func (f *Fleet) Level(level int) []*Machine { return f.levels[level] }
+
+// LevelOf is the level of a machine, 0 if it is on none.
+func (m *Machine) LevelOf() int { return m.level }
+
+// arrange puts a machine on the level where it belongs now.
+func (f *Fleet) arrange(m *Machine) {
+	level := 0
+	switch {
+	case !m.Up || m.CPUs+m.Mem == 0:
+	case m.CPUs-m.UsedCPU < grain:
+		level = Levels
+	default:
+		level = 1 + min(int(max(m.UsedCPU, 0)/m.CPUs*(Levels-1)), Levels-2)
+	}
+	if level == m.level {
+		return
+	}
+	if list := f.levels[m.level]; m.level > 0 {
+		last := list[len(list)-1]
+		list[m.slot], last.slot = last, m.slot
+		f.levels[m.level] = list[:len(list)-1]
+	}
+	m.level = level
+	if level > 0 {
+		m.slot = len(f.levels[level])
+		f.levels[level] = append(f.levels[level], m)
+	}
+}
+
+// Measure records what the machine has.
+func (f *Fleet) Measure(m *Machine, r Room) {
+	m.CPUs, m.Cards, m.Mem = r.CPUs, r.Cards, r.Mem
+	f.arrange(m)
+}
+
+// Remove lets go of a machine that is gone, after Clear.
+func (f *Fleet) Remove(m *Machine) {
+	m.Up = false
+	f.arrange(m)
+	delete(f.Machines, m.ID)
+}
+
 // Team is the usage of a team.
 func (f *Fleet) Team(name string) *Usage {
 	u := f.Teams[name]
@@ -141,6 +209,7 @@
 // Place records an attempt that is about to be started on the machine.
 func (f *Fleet) Place(m *Machine, a *jobs.Attempt) {
 	m.add(a)
+	f.arrange(m)
 	if a.Job == nil {
 		return
 	}
@@ -148,22 +217,21 @@
 	u.CPUs += a.Job.CPUs
 	u.Cards += a.Job.Cards
 	if !a.Stray {
-		a.Job.Active[a.Key.Task] = a
+		a.Job.Attach(a)
 	}
 }
 
 // release takes an attempt off its machine: it is known to be gone.
 func (f *Fleet) release(m *Machine, a *jobs.Attempt) {
 	m.remove(a)
+	f.arrange(m)
 	if a.Job == nil {
 		return
 	}
 	u := f.Team(a.Job.Team)
 	u.CPUs -= a.Job.CPUs
 	u.Cards -= a.Job.Cards
-	if a.Job.Active[a.Key.Task] == a {
-		delete(a.Job.Active, a.Key.Task)
-	}
+	a.Job.Detach(a)
 }
 
 // Newer reports whether the report is newer than what is known of its machine.
@@ -181,13 +249,14 @@
 	if !m.Up {
 		m.Up = true
 		m.IdleSince = now
+		f.arrange(m)
 	}
+	f.looks++
 	newSession := r.Session != m.Session
 	m.Session, m.Seq = r.Session, r.Seq
 	m.Addr, m.Type, m.Zone, m.Spot = r.Addr, r.Type, r.Zone, r.Spot
 	f.notice(now, m, r)
 	var ended []Ended
-	present := make(map[jobs.Key]uint64, len(r.Tasks))
 	for i := range r.Tasks {
 		t := &r.Tasks[i]
 		key, err := jobs.ParseKey(t.Task)
@@ -207,7 +276,6 @@
 			}
 			continue
 		}
-		present[key] = t.Attempt
 		if a == nil || a.Number != t.Attempt {
 			if a != nil {
 				f.release(m, a)
@@ -215,18 +283,17 @@
 			}
 			a = f.adopt(now, m, key, t.Attempt, find)
 		}
-		switch t.State {
-		case StateRunning:
-			if a.Running.IsZero() {
-				a.Running = now
-			}
-		case StateSaving:
+		a.Seen = f.looks
+		switch {
+		case t.State == StateRunning && a.Job != nil:
+			a.Job.SawRunning(a, now)
+		case t.State == StateSaving:
 			a.Saving = true
 		}
 	}
 	if whole || newSession {
-		for key, a := range m.Attempts {
-			if _, ok := present[key]; !ok && !a.Unsent {
+		for _, a := range m.Attempts {
+			if a.Seen != f.looks && !a.Unsent {
 				f.release(m, a)
 				ended = append(ended, Ended{a, Lost, false})
 			}
