Machines that do not answer three questions are deleted, at a takeover too

Now a machine whose report is missing is asked directly, and deleted after three questions without an answer (unless a third of the fleet is silent).

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -95,7 +95,7 @@
 	held     []*workers.Machine
 	booked   map[*jobs.Attempt]*workers.Machine // starts of gangs that wait for their machines' reports
 	missing  []*workers.Machine                 // on the roster and not accounted for yet
-	mayAsk   float64                            // of those, how many may be asked directly now
+	mayAsk   float64                            // workers that may be asked directly now
 	nextLook time.Time
 	nextSize time.Time
 	nextRoom time.Time
@@ -103,7 +103,6 @@
 	nextGang time.Time
 	nextDrop time.Time
 	reports  []pendingReport
-	probes   map[string]time.Time
 	pending  int // submissions that are not durable yet
 }
 
@@ -293,6 +292,7 @@
 		return
 	}
 	n.takeGone(now)
+	n.allowQuestions()
 	if !now.Before(l.nextLook) {
 		l.nextLook = now.Add(200 * time.Millisecond)
 		n.expire(now)
--- /dev/null
+++ b/internal/node/silence.go
@@ -0,0 +1,100 @@
+package node
+
+import (
+	"time"
+
+	"gullrudder/internal/outbox"
+	"gullrudder/internal/packed"
+	"gullrudder/internal/workers"
+)
+
+// silent is the reason of machines that are given back because nothing is heard of them.
+const silent = "silent"
+
+const (
+	// askAgain is how long a worker has to answer before it is asked again.
+	askAgain = time.Second
+	// unheard is after how many questions without an answer a machine counts as silent.
+	unheard = 3
+	// askPerShare is how many workers a second a whole processor could ask. A question is a
+	// connection and two messages, under half a millisecond; at this rate less than half of
+	// our share goes into questions, and reports, users and the renewal keep theirs.
+	askPerShare = 1000
+)
+
+// allowQuestions lets the budget for direct questions grow.
+func (n *Node) allowQuestions() {
+	rate := askPerShare * n.cfg.CPUShare
+	n.lead.mayAsk = min(n.lead.mayAsk+rate*tickEvery.Seconds(), float64(n.cfg.Connections)/24)
+}
+
+// ask sends a worker the empty command, unless it was asked shortly before or the budget
+// is used up. It raises the worker's token, so that nothing of an earlier leader is executed
+// any more, and its answer is the worker's report.
+func (n *Node) ask(now time.Time, m *workers.Machine) {
+	l := n.lead
+	if l.mayAsk < 1 || m.Addr == "" || now.Before(m.AskAt) {
+		return
+	}
+	l.mayAsk--
+	m.AskAt = now.Add(askAgain)
+	n.question(m, max(m.Session, 1), 3)
+}
+
+func (n *Node) question(m *workers.Machine, session uint64, tries int) {
+	l := n.lead
+	n.box.Add(outbox.Call{Service: outbox.Worker, Addr: m.Addr, Method: "POST", Path: "/commands",
+		Body: workers.Direct{Token: l.token, Session: session, Commands: []workers.Command{}}, Timeout: askAgain,
+		Done: func(now time.Time, res outbox.Result) {
+			if n.lead != l {
+				return
+			}
+			var r workers.Report
+			if res.Status != 200 && res.Status != 409 || packed.Unmarshal(res.Body, &r) != nil || r.Machine != m.ID {
+				m.Unheard++
+				return
+			}
+			m.Unheard, m.Heard = 0, now
+			switch {
+			case res.Status == 409:
+				if tries > 0 && r.Token <= l.token && !m.Accounted {
+					n.question(m, r.Session, tries-1)
+				}
+			case !m.Accounted && r.Token == l.token && m.Newer(&r):
+				n.observe(now, m, &r, false)
+			}
+		}})
+}
+
+// dropSilent asks the machines whose reports are missing and deletes those that do not
+// answer: the cloud's answer tells that their tasks are gone well before their leases do,
+// and a takeover need not wait for them. Where many fall silent at once it is rather we who
+// cannot be reached, and the leases decide.
+func (n *Node) dropSilent(now time.Time) {
+	l := n.lead
+	var ids []string
+	known := 0
+	for id, m := range l.fleet.Machines {
+		if !m.Up && !m.Rostered || m.Draining == silent || m.Draining == returned {
+			continue
+		}
+		known++
+		if now.Sub(m.Answered) < n.cfg.ReportEvery*5/4+time.Second {
+			if m.Accounted {
+				m.Unheard = 0
+			}
+		} else if now.Sub(m.Heard) > askAgain {
+			n.ask(now, m)
+		}
+		if m.Unheard >= unheard {
+			ids = append(ids, id)
+		}
+	}
+	if len(ids) == 0 || len(ids)*3 > known {
+		return
+	}
+	for _, id := range ids {
+		l.fleet.Machines[id].Draining = silent
+	}
+	l.cloud.Return(now, ids, silent)
+}
--- a/internal/node/sizing.go
+++ b/internal/node/sizing.go
@@ -205,6 +205,9 @@
 	return n.opt.Backlog.Seconds() * price / cheapest / 3
 }
 
+// returned is the reason of machines that are on their way back to the cloud.
+const returned = "returned"
+
 // surplus is the reason of machines that get nothing more because cheaper ones suffice.
 const surplus = "surplus"
 
@@ -233,33 +236,6 @@
 	}
 }
 
-const silent = "silent"
-
-// dropSilent deletes machines whose workers have stopped to report: the cloud's answer
-// tells that their tasks are gone well before their leases do. Where many fall silent at
-// once it is rather we who cannot be reached, and the leases decide.
-func (n *Node) dropSilent(now time.Time) {
-	l := n.lead
-	var ids []string
-	known := 0
-	for id, m := range l.fleet.Machines {
-		if !m.Up && !m.Rostered || m.Draining == silent || m.Draining == "returned" {
-			continue
-		}
-		known++
-		if now.Sub(m.Answered) > 3*n.cfg.ReportEvery+3*time.Second {
-			ids = append(ids, id)
-		}
-	}
-	if len(ids) == 0 || len(ids)*3 > known {
-		return
-	}
-	for _, id := range ids {
-		l.fleet.Machines[id].Draining = silent
-	}
-	l.cloud.Return(now, ids, silent)
-}
-
 // giveBack returns machines that are idle, faulty, failed, never up or lost.
 func (n *Node) giveBack(now time.Time) {
 	l := n.lead
@@ -296,7 +272,7 @@
 			continue
 		}
 		if m != nil && (m.Draining == "" || m.Draining == surplus) {
-			m.Draining = "returned"
+			m.Draining = returned
 		}
 		why[reason] = append(why[reason], id)
 	}
--- a/internal/node/takeover.go
+++ b/internal/node/takeover.go
@@ -8,8 +8,6 @@
 	"gullrudder/internal/jobs"
 	"gullrudder/internal/leader"
 	"gullrudder/internal/ledger"
-	"gullrudder/internal/outbox"
-	"gullrudder/internal/packed"
 	"gullrudder/internal/plan"
 	"gullrudder/internal/workers"
 )
@@ -31,7 +29,7 @@
 func (n *Node) takeOver(now time.Time) {
 	token := n.election.Token()
 	l := &leadership{token: token, since: now, jobs: map[string]*jobs.Job{}, finals: map[string]final{},
-		planner: plan.New(n.opt, n.cfg), booked: map[*jobs.Attempt]*workers.Machine{}, probes: map[string]time.Time{}}
+		planner: plan.New(n.opt, n.cfg), booked: map[*jobs.Attempt]*workers.Machine{}}
 	l.ledger = ledger.New(ledger.Options{LeaderKey: leader.Key, ValueBytes: n.cfg.ValueBytes, TxnOps: n.cfg.TxnOps,
 		WriteRate: n.cfg.StateWrites, Quiet: 500 * time.Millisecond}, token, n.log)
 	l.cloud = fleet.New(token, n.cfg.CloudRate, n.cfg.ListLag, n.log)
@@ -112,14 +110,6 @@
 	n.account(now)
 }
 
-// askAgain is how long a worker may take to show our token before it is asked (again).
-const askAgain = 1500 * time.Millisecond
-
-// askRate is how many workers a second are asked directly during a takeover. A question is a
-// connection and two messages, under half a millisecond of the processor; at this rate less
-// than half of the share goes into questions, and reports, users and the renewal keep theirs.
-func (n *Node) askRate() float64 { return 1000 * n.cfg.CPUShare }
-
 // account begins to place once every machine on the roster is accounted for. It asks
 // the workers directly: the empty command raises their token, so that nothing of an
 // earlier leader is executed any more, and its answer is their report.
@@ -133,18 +123,11 @@
 		still = append(still, m)
 	}
 	l.missing = still
-	l.mayAsk = min(l.mayAsk+n.askRate()*tickEvery.Seconds(), float64(n.cfg.Connections)/24)
 	for _, m := range l.missing {
-		if l.mayAsk < 1 {
-			break
-		}
 		// A machine that has just got its first answer reports again at once.
-		if m.Addr == "" || now.Before(l.probes[m.ID]) || m.Answered.After(l.since) && now.Sub(m.Answered) < askAgain {
-			continue
+		if m.Answered.Equal(l.since) || now.Sub(m.Answered) > askAgain {
+			n.ask(now, m)
 		}
-		l.mayAsk--
-		l.probes[m.ID] = now.Add(askAgain)
-		n.probe(m, max(m.Session, 1), 3)
 	}
 	if len(l.missing) == 0 {
 		l.placing, l.stale = true, true
@@ -152,27 +135,6 @@
 	}
 }
 
-func (n *Node) probe(m *workers.Machine, session uint64, tries int) {
-	l := n.lead
-	n.box.Add(outbox.Call{Service: outbox.Worker, Addr: m.Addr, Method: "POST", Path: "/commands",
-		Body: workers.Direct{Token: l.token, Session: session, Commands: []workers.Command{}}, Timeout: time.Second,
-		Done: func(now time.Time, res outbox.Result) {
-			var r workers.Report
-			if n.lead != l || m.Accounted || (res.Status != 200 && res.Status != 409) || packed.Unmarshal(res.Body, &r) != nil || r.Machine != m.ID {
-				return
-			}
-			if res.Status == 200 && r.Token == l.token {
-				if m.Newer(&r) {
-					n.observe(now, m, &r, false)
-				}
-				return
-			}
-			if tries > 0 && r.Token <= l.token {
-				n.probe(m, r.Session, tries-1)
-			}
-		}})
-}
-
 // expire takes the tasks of workers whose lease has ended for gone.
 func (n *Node) expire(now time.Time) {
 	l := n.lead
--- a/internal/workers/workers.go
+++ b/internal/workers/workers.go
@@ -18,6 +18,9 @@
 	Up           bool      // has reported to this leadership
 	Accounted    bool      // its tasks are known to this leadership
 	Answered     time.Time // when we last sent it a 200
+	AskAt        time.Time // it is not asked directly before this
+	Heard        time.Time // when it last answered a question
+	Unheard      int       // questions in a row that it did not answer
 	Attempts     map[jobs.Key]*jobs.Attempt
 	UsedCPU      float64
 	UsedCards    float64
