--- a/internal/node/sizing.go
+++ b/internal/node/sizing.go
@@ -60,11 +60,8 @@
 	cheapest := opts[0].price
 	// Room that is there or coming, per machine; the waiting tasks are laid into it.
 	f := n.forecast(now)
-	total := 0.0
-	for _, e := range l.order {
-		total += e.Work
-	}
-	n.shed(opts, total)
+	work := n.workAhead()
+	n.shed(now, opts, work)
 	asked := map[fleet.Kind]int{}
 	for _, e := range l.order {
 		j := e.Job
@@ -83,6 +80,7 @@
 				continue
 			}
 			worth := n.worth(o.price, cheapest)
+			total := work.within(worth)
 			for want > 0 && asked[o.kind] < fleet.MostRent && (lacking > 0 || total > f.cpus*worth) {
 				asked[o.kind]++
 				f.add(o.kind, o.typ)
@@ -98,6 +96,39 @@
 	}
 }
 
+// ahead is the work at hand, in CPU seconds, by team.
+type ahead []teamWork
+
+type teamWork struct{ work, limit float64 }
+
+func (n *Node) workAhead() ahead {
+	at := map[string]int{}
+	var list ahead
+	for _, e := range n.lead.order {
+		i, ok := at[e.Job.Team]
+		if !ok {
+			i = len(list)
+			at[e.Job.Team] = i
+			list = append(list, teamWork{limit: n.teams[e.Job.Team].CPULimit})
+		}
+		list[i].work += e.Work
+	}
+	return list
+}
+
+// within is how much of the work could be done in so many seconds with any number of
+// machines: no team gets further than its limit.
+func (a ahead) within(seconds float64) float64 {
+	sum := 0.0
+	for _, t := range a {
+		if t.limit > 0 {
+			t.work = min(t.work, t.limit*seconds)
+		}
+		sum += t.work
+	}
+	return sum
+}
+
 // forecast is the room of the machines that are there or booting.
 type forecast struct {
 	cpus  float64
@@ -205,6 +236,18 @@
 	return n.opt.Backlog.Seconds() * price / cheapest / 3
 }
 
+// minCharge is what the cloud charges at least for a machine that is deleted.
+const minCharge = time.Minute
+
+// paidFor is how long a machine has been paid for already beyond now.
+func (n *Node) paidFor(now time.Time, id string) time.Duration {
+	h := n.lead.cloud.Hosts[id]
+	if h == nil {
+		return 0
+	}
+	return max(minCharge-now.Sub(h.Born), 0)
+}
+
 // returned is the reason of machines that are on their way back to the cloud.
 const returned = "returned"
 
@@ -213,7 +256,7 @@
 
 // shed stops to use the dearer kinds once the cheaper machines that are up would get
 // through the work well before the dearer ones were worth renting.
-func (n *Node) shed(opts []option, total float64) {
+func (n *Node) shed(now time.Time, opts []option, work ahead) {
 	l := n.lead
 	up := map[fleet.Kind][]*workers.Machine{}
 	for _, m := range l.fleet.Machines {
@@ -223,11 +266,12 @@
 	}
 	cheaper := 0.0
 	for _, o := range opts {
-		spare := o.price > 1.5*opts[0].price && total < cheaper*n.worth(o.price, opts[0].price)/2
+		worth := n.worth(o.price, opts[0].price)
+		spare := o.price > 1.5*opts[0].price && work.within(worth) < cheaper*worth/2
 		for _, m := range up[o.kind] {
 			cheaper += m.CPUs
 			switch {
-			case spare && m.Draining == "":
+			case spare && m.Draining == "" && n.paidFor(now, m.ID) == 0:
 				m.Draining = surplus
 			case !spare && m.Draining == surplus:
 				m.Draining = ""
@@ -242,7 +286,7 @@
 	why := map[string][]string{}
 	waiting := 0
 	for _, e := range l.order {
-		waiting += e.Job.Waiting()
+		waiting += n.wanted(e.Job)
 	}
 	for id, h := range l.cloud.Hosts {
 		if h.Deleting {
@@ -264,8 +308,8 @@
 			}
 		case (m.Draining == "faulty" || m.Draining == surplus) && len(m.Attempts) == 0:
 			reason = m.Draining
-		case m.Draining == "" && len(m.Attempts) == 0 && waiting == 0 && now.Sub(m.IdleSince) > n.opt.IdleAfter,
-			m.Draining == "" && len(m.Attempts) == 0 && now.Sub(m.IdleSince) > 3*n.opt.IdleAfter:
+		case m.Draining != "" || len(m.Attempts) > 0 || n.paidFor(now, id) > 0:
+		case waiting == 0 && now.Sub(m.IdleSince) > n.opt.IdleAfter, now.Sub(m.IdleSince) > 3*n.opt.IdleAfter:
 			reason = "idle"
 		}
 		if reason == "" {
