Within a rank, jobs whose image is on the machine go first

What a machine has is known from what was started on it. Another job of the same rank is passed over for at most the time that fetching its image takes; a machine never waits.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -23,6 +23,8 @@
 	Price     float64  `msgpack:"hourly"`
 	SpotPrice float64  `msgpack:"low_price"`
 	BootS     float64  `msgpack:"ready_s"`
+	CacheGB   float64  `msgpack:"local_gb"`       // for images
+	FetchRate float64  `msgpack:"fetch_gb_per_s"` // of images
 	Zones     []string `msgpack:"harbours"`
 }
 
--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -123,6 +123,7 @@
 	RanCount  int
 	BadHosts  map[string]bool
 	NotBefore time.Time // start nothing before this
+	Passed    time.Time // since when machines without its image were left to others; zero: not at present
 	Errors    int
 }
 
--- a/internal/node/index_test.go
+++ b/internal/node/index_test.go
@@ -38,7 +38,8 @@
 	m := n.lead.fleet.Machine(fmt.Sprintf("vm-%06d", i))
 	n.look(now, m, typ, zone, spot)
 	n.lead.cloud.Seen(now, m.ID, "", place.Kind(m))
-	n.lead.fleet.Measure(m, place.Size(n.lead.cloud.Types[typ]))
+	t := n.lead.cloud.Types[typ]
+	n.lead.fleet.Measure(m, place.Size(t), t.CacheGB, t.FetchRate)
 	m.Accounted, m.Rostered = true, true
 	return m
 }
--- a/internal/node/placing.go
+++ b/internal/node/placing.go
@@ -9,6 +9,7 @@
 	"gullrudder/internal/fleet"
 	"gullrudder/internal/jobs"
 	"gullrudder/internal/place"
+	"gullrudder/internal/plan"
 	"gullrudder/internal/workers"
 )
 
@@ -186,30 +187,27 @@
 	}
 	n.rank(now)
 	list := n.bookedStarts(now, m, most)
-	for _, e := range l.waiting {
-		free := m.Free()
-		if len(list) >= most || free.CPUs < l.least-1e-6 {
-			break
-		}
-		j := e.Job
-		count := min(free.Fits(j), j.Waiting(), most-len(list))
-		if count <= 0 || !j.Live() || now.Before(j.NotBefore) || !place.Usable(j, m) {
-			continue
-		}
-		if h := m.HeldFor; h != nil && h != j && !e.Hold {
-			continue
+	for rest := l.waiting; len(rest) > 0; {
+		same := 1
+		for same < len(rest) && rest[same].Rank == rest[0].Rank {
+			same++
 		}
-		count = min(count, place.ZoneRoom(j, m.Zone), place.TeamRoom(j, n.teams[j.Team], l.fleet.Team(j.Team)))
-		if count > 0 {
-			count = min(count, j.Waiting()-n.fuller(now, j, m, mostLooked))
-		}
-		for ; count > 0; count-- {
-			t := j.NextTask()
-			if t < 0 {
-				break
+		// Among jobs of one rank those go first whose image is here.
+		for _, near := range [...]bool{true, false} {
+			for _, e := range rest[:same] {
+				if len(list) >= most || m.CPUs-m.UsedCPU < l.least-1e-6 {
+					break
+				}
+				if n.near(now, e.Job, m) == near {
+					list = n.startSome(now, m, e, list, most)
+				} else if near && e.Job.Passed.IsZero() && m.Fits(e.Job) > 0 {
+					e.Job.Passed = now
+				}
 			}
-			a := n.attempt(now, m, j, t, n.nextNumber())
-			list = append(list, workers.Start(a.Key.String(), a.Number))
+		}
+		rest = rest[same:]
+		if len(list) >= most || m.CPUs-m.UsedCPU < l.least-1e-6 {
+			break
 		}
 	}
 	if len(list) > 0 {
@@ -218,6 +216,38 @@
 	return list
 }
 
+// near reports whether the job's tasks lose nothing by starting on the machine: their image
+// is there, or they have waited for such a machine as long as fetching takes.
+func (n *Node) near(now time.Time, j *jobs.Job, m *workers.Machine) bool {
+	return m.Store.Has(j.Image) || !j.Passed.IsZero() && now.Sub(j.Passed) >= m.Store.Fetch(j.ImageGB)
+}
+
+// startSome starts as many tasks of one job on the machine as there is room for.
+func (n *Node) startSome(now time.Time, m *workers.Machine, e plan.Entry, list []workers.Command, most int) []workers.Command {
+	l, j := n.lead, e.Job
+	count := min(m.Fits(j), j.Waiting(), most-len(list))
+	if count <= 0 || !j.Live() || now.Before(j.NotBefore) || !place.Usable(j, m) {
+		return list
+	}
+	if h := m.HeldFor; h != nil && h != j && !e.Hold {
+		return list
+	}
+	count = min(count, place.ZoneRoom(j, m.Zone), place.TeamRoom(j, n.teams[j.Team], l.fleet.Team(j.Team)))
+	if count > 0 {
+		count = min(count, j.Waiting()-n.fuller(now, j, m, mostLooked))
+	}
+	for ; count > 0; count-- {
+		t := j.NextTask()
+		if t < 0 {
+			break
+		}
+		a := n.attempt(now, m, j, t, n.nextNumber())
+		list = append(list, workers.Start(a.Key.String(), a.Number))
+		j.Passed = time.Time{}
+	}
+	return list
+}
+
 // bookedStarts are the starts of gangs that have waited for the machine's report.
 func (n *Node) bookedStarts(now time.Time, m *workers.Machine, most int) []workers.Command {
 	l := n.lead
--- a/internal/node/reports.go
+++ b/internal/node/reports.go
@@ -52,7 +52,7 @@
 	l := n.lead
 	l.cloud.Seen(now, rep.Machine, rep.Addr, fleet.Kind{Type: rep.Type, Zone: rep.Zone, Spot: rep.Spot})
 	if t := l.cloud.Types[rep.Type]; t != nil && m.CPUs+m.Mem+m.Cards == 0 {
-		l.fleet.Measure(m, place.Size(t))
+		l.fleet.Measure(m, place.Size(t), t.CacheGB, t.FetchRate)
 	}
 	if m.Rostered || m.Enrolling {
 		return
--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -232,7 +232,7 @@
 	Within  bool // within its team's guarantee
 	PerTask time.Duration
 	Work    float64
-	rank    int
+	Rank    int // the lower the earlier; within a rank the order is by key
 	key     float64
 }
 
@@ -269,32 +269,32 @@
 		srt := e.Work / max(room.CPUs, 1)
 		switch {
 		case j.Service:
-			e.rank, e.key, e.Hold = rankService, -float64(j.Priority), true
+			e.Rank, e.key, e.Hold = rankService, -float64(j.Priority), true
 		case e.Planned:
-			e.rank, e.key, e.Hold = rankPlanned, Due(j).Sub(now).Seconds(), true
+			e.Rank, e.key, e.Hold = rankPlanned, Due(j).Sub(now).Seconds(), true
 		case e.Within && age < p.covered:
 			// It can still start in the time that the guarantee is aimed at.
-			e.rank, e.key, e.Hold = rankCovered, e.Work, true
+			e.Rank, e.key, e.Hold = rankCovered, e.Work, true
 		case e.Within:
-			e.rank, e.key, e.Hold = rankWithin, -age.Seconds(), true
+			e.Rank, e.key, e.Hold = rankWithin, -age.Seconds(), true
 		case age > p.opt.AgeBound:
-			e.rank, e.key, e.Hold = rankAged, -age.Seconds(), true
+			e.Rank, e.key, e.Hold = rankAged, -age.Seconds(), true
 		case p.missed(j, age, e.PerTask):
-			e.rank, e.key = rankMissed, srt
+			e.Rank, e.key = rankMissed, srt
 		case start > 0 && age > start*2/3:
 			// Two thirds of the time in which its tasks are to start are gone.
-			e.rank, e.key, e.Hold = rankAged, (start - age).Seconds(), true
+			e.Rank, e.key, e.Hold = rankAged, (start - age).Seconds(), true
 		default:
 			// Ageing within the bound: waiting makes the remaining time count less.
-			e.rank, e.key = rankRest, srt-age.Seconds()/p.opt.AgeBound.Seconds()
+			e.Rank, e.key = rankRest, srt-age.Seconds()/p.opt.AgeBound.Seconds()
 		}
 		e.Hold = e.Hold || j.Gang
 		list = append(list, e)
 	}
 	sort.Slice(list, func(a, b int) bool {
 		x, y := &list[a], &list[b]
-		if x.rank != y.rank {
-			return x.rank < y.rank
+		if x.Rank != y.Rank {
+			return x.Rank < y.Rank
 		}
 		if x.key != y.key {
 			return x.key < y.key
--- a/internal/workers/workers.go
+++ b/internal/workers/workers.go
@@ -35,6 +35,7 @@
 	RoomFrom  time.Time       // no start before this, after a refusal for room
 	Failed    map[string]bool // jobs that ended here with an error
 	HeldFor   *jobs.Job       // the job that its free room is held for
+	Store     Store           // for images
 
 	level, slot int // where it stands in the fleet's levels; level 0: nowhere
 }
@@ -78,6 +79,7 @@
 func (m *Machine) add(a *jobs.Attempt) {
 	m.Attempts[a.Key] = a
 	if a.Job != nil {
+		m.Store.Use(a.Job.Image, a.Job.ImageGB)
 		m.UsedCPU += a.Job.CPUs
 		m.UsedCards += a.Job.Cards
 		m.UsedMem += a.Job.Mem
@@ -187,8 +189,9 @@
 }
 
 // Measure records what the machine has.
-func (f *Fleet) Measure(m *Machine, r Room) {
+func (f *Fleet) Measure(m *Machine, r Room, cacheGB, fetchRate float64) {
 	m.CPUs, m.Cards, m.Mem = r.CPUs, r.Cards, r.Mem
+	m.Store.SizeGB, m.Store.Rate = cacheGB, fetchRate
 	f.arrange(m)
 }
 
