--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -56,16 +56,18 @@
 )
 
 const (
-	// MostRent is the most machines of one rental, as the cloud's protocol has it; so are the others.
-	MostRent   = 50
+	mostRent   = 50 // machines of one rental, as the cloud's protocol has it; so are the others
 	mostDelete = 100
 	mostList   = 500
 )
 
+// burst is how much of its rate the cloud allows at once, as its protocol has it.
+const burst = 2 * time.Second
+
 type kindState struct {
 	refused time.Time // nothing is asked for before this
 	backoff time.Duration
-	asking  bool
+	asking  int // requests that are not answered yet
 }
 
 // Cloud is the leader's dealings with the cloud.
@@ -73,6 +75,7 @@
 	token   uint64
 	counter int
 	log     *slog.Logger
+	rate    float64
 	limit   *outbox.Limiter
 	lag     time.Duration
 	epoch   *int
@@ -95,7 +98,7 @@
 
 // New makes the dealings of a new leadership.
 func New(token uint64, rate float64, lag time.Duration, log *slog.Logger) *Cloud {
-	return &Cloud{token: token, log: log, limit: outbox.NewLimiter(rate * 0.95), lag: lag, epoch: new(int),
+	return &Cloud{token: token, log: log, rate: rate, limit: outbox.NewLimiter(rate*0.95, burst), lag: lag, epoch: new(int),
 		Types: map[string]*Type{}, Hosts: map[string]*Host{}, kinds: map[Kind]*kindState{}, dead: map[string]bool{}}
 }
 
@@ -254,19 +257,25 @@
 // Askable reports whether it makes sense to ask for machines of the kind now.
 func (c *Cloud) Askable(now time.Time, k Kind) bool {
 	s := c.kind(k)
-	return !s.asking && !now.Before(s.refused)
+	return s.asking == 0 && !now.Before(s.refused)
 }
 
-// Rent asks for n machines of a kind. A request whose answer is lost is repeated under
+// MostAsked is how many machines of a kind can be asked for at a time: as many requests as
+// the cloud takes in a second, lists and deletions aside, and one at least.
+func (c *Cloud) MostAsked() int { return mostRent * max(int(c.rate), 1) }
+
+// Rent asks for count machines of a kind. A request whose answer is lost is repeated under
 // the same name until it is answered; the name derives from the token, so no other
 // leader ever uses it.
-func (c *Cloud) Rent(now time.Time, k Kind, n int) {
-	n = min(n, MostRent)
-	c.kind(k).asking = true
-	c.counter++
-	name := fmt.Sprintf("r-%d-%d", c.token, c.counter)
-	c.log.Info("renting", "request", name, "type", k.Type, "zone", k.Zone, "spot", k.Spot, "count", n)
-	c.waiting = append(c.waiting, func(box *outbox.Box) { c.rent(box, k, n, name, 0) })
+func (c *Cloud) Rent(now time.Time, k Kind, count int) {
+	for ; count > 0; count -= mostRent {
+		n := min(count, mostRent)
+		c.kind(k).asking++
+		c.counter++
+		name := fmt.Sprintf("r-%d-%d", c.token, c.counter)
+		c.log.Info("renting", "request", name, "type", k.Type, "zone", k.Zone, "spot", k.Spot, "count", n)
+		c.waiting = append(c.waiting, func(box *outbox.Box) { c.rent(box, k, n, name, 0) })
+	}
 }
 
 func (c *Cloud) rent(box *outbox.Box, k Kind, n int, name string, tries int) {
@@ -284,7 +293,7 @@
 			}
 			switch {
 			case r.Status == 200 && a.Error == "":
-				s.asking = false
+				s.asking--
 				for _, id := range a.Hosts {
 					if c.Hosts[id] == nil {
 						c.Hosts[id] = &Host{ID: id, Kind: k, Born: now, State: Starting}
@@ -298,7 +307,7 @@
 				}
 				c.log.Info("rented", "request", name, "asked", n, "got", len(a.Hosts))
 			case r.Status == 503 && a.Error == "no capacity", r.Status == 400:
-				s.asking = false
+				s.asking--
 				s.backoff = backoff(s.backoff)
 				s.refused = now.Add(s.backoff)
 				c.log.Info("rental refused", "request", name, "status", r.Status, "error", a.Error, "again", s.backoff)
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -82,7 +82,7 @@
 // New makes the ledger of a new leadership. Load has to come first.
 func New(opt Options, token uint64, log *slog.Logger) *Ledger {
 	return &Ledger{opt: opt, log: log, token: token, pages: map[string]*page{}, dirty: map[*page]bool{}, entries: map[string]*entry{},
-		limit: outbox.NewLimiter(opt.WriteRate * 0.92), epoch: new(int)}
+		limit: outbox.NewLimiter(opt.WriteRate*0.92, time.Second), epoch: new(int)}
 }
 
 // Close makes answers that are still to come harmless.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -97,6 +97,7 @@
 	missing  []*workers.Machine                 // on the roster and not accounted for yet
 	mayAsk   float64                            // workers that may be asked directly now
 	nextLook time.Time
+	sized    time.Time
 	nextSize time.Time
 	nextRoom time.Time
 	nextSave time.Time
@@ -320,7 +321,7 @@
 		n.makeRoom(now)
 	}
 	if l.placing && (!now.Before(l.nextSize) || l.cloud.TakeSettled()) {
-		l.nextSize = now.Add(time.Second)
+		l.sized, l.nextSize = now, now.Add(time.Second)
 		n.size(now)
 	}
 }
--- a/internal/node/sizing.go
+++ b/internal/node/sizing.go
@@ -81,7 +81,7 @@
 			}
 			worth := n.worth(o.price, cheapest)
 			total := work.within(worth)
-			for want > 0 && asked[o.kind] < fleet.MostRent && (lacking > 0 || total > f.cpus*worth) {
+			for want > 0 && asked[o.kind] < l.cloud.MostAsked() && (lacking > 0 || total > f.cpus*worth) {
 				asked[o.kind]++
 				f.add(o.kind, o.typ)
 				lacking -= per
--- a/internal/node/users.go
+++ b/internal/node/users.go
@@ -124,6 +124,10 @@
 		if ok && j.State == jobs.Pending {
 			j.State = jobs.Accepted
 			l.stale = true
+			// Machines take long to boot: what new work needs is asked for soon.
+			if soon := l.sized.Add(300 * time.Millisecond); soon.Before(l.nextSize) {
+				l.nextSize = soon
+			}
 			n.log.Info("job accepted", "job", j.ID, "class", j.Class, "tasks", j.Tasks, "label", label(j.Guaranteed))
 		}
 		if answered {
--- a/internal/outbox/outbox.go
+++ b/internal/outbox/outbox.go
@@ -53,19 +53,22 @@
 	return calls
 }
 
-// Limiter is a token bucket that holds at most one second's worth.
+// Limiter is a token bucket.
 type Limiter struct {
-	rate, level float64
-	last        time.Time
+	rate, burst, level float64
+	last               time.Time
 }
 
-// NewLimiter allows rate units a second.
-func NewLimiter(rate float64) *Limiter { return &Limiter{rate: rate, level: rate} }
+// NewLimiter allows rate units a second, and bursts of that much for so long.
+func NewLimiter(rate float64, burst time.Duration) *Limiter {
+	most := rate * burst.Seconds()
+	return &Limiter{rate: rate, burst: most, level: most}
+}
 
 // Available is the number of whole units that may be taken now.
 func (l *Limiter) Available(now time.Time) int {
 	if !l.last.IsZero() && now.After(l.last) {
-		l.level = min(l.rate, l.level+now.Sub(l.last).Seconds()*l.rate)
+		l.level = min(l.burst, l.level+now.Sub(l.last).Seconds()*l.rate)
 	}
 	l.last = now
 	return int(max(l.level, 0))
