Machines that are hardly used are emptied where others have room

Tasks that save are now stopped and start again on fuller machines, if the fleet stays a tenth larger than what it needs and the machine's price until it would be empty is three times that of the move.

--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -121,6 +121,7 @@
 	next      int            // tasks from here on were never tried
 	RanSum    time.Duration  // run time of the tasks seen from start to end
 	RanCount  int
+	Resumed   map[int]bool // tasks that go on from a saved state: how long they ran last tells little
 	BadHosts  map[string]bool
 	NotBefore time.Time // start nothing before this
 	Passed    time.Time // since when machines without its image were left to others; zero: not at present
@@ -131,7 +132,7 @@
 func NewJob(s Spec, submitted time.Time) *Job {
 	words := (s.Tasks + 63) / 64
 	return &Job{Spec: s, Submitted: submitted, done: make([]uint64, words), durable: make([]uint64, words),
-		Active: map[int]*Attempt{}, zones: map[string]int{}}
+		Active: map[int]*Attempt{}, zones: map[string]int{}, Resumed: map[int]bool{}}
 }
 
 // Attach makes the attempt the active one of its task.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -100,6 +100,7 @@
 	sized    time.Time
 	nextSize time.Time
 	nextRoom time.Time
+	nextThin time.Time
 	nextSave time.Time
 	nextGang time.Time
 	nextDrop time.Time
@@ -320,6 +321,10 @@
 		l.nextRoom = now.Add(500 * time.Millisecond)
 		n.makeRoom(now)
 	}
+	if l.placing && !now.Before(l.nextThin) {
+		l.nextThin = now.Add(5 * time.Second)
+		n.thinOut(now)
+	}
 	if l.placing && (!now.Before(l.nextSize) || l.cloud.TakeSettled()) {
 		l.sized, l.nextSize = now, now.Add(time.Second)
 		n.size(now)
--- a/internal/node/preempt.go
+++ b/internal/node/preempt.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"gullrudder/internal/jobs"
-	"gullrudder/internal/outbox"
 	"gullrudder/internal/place"
 	"gullrudder/internal/plan"
 	"gullrudder/internal/workers"
@@ -105,7 +104,6 @@
 
 // stopFor stops the newest of the tasks that may be stopped for the job.
 func (n *Node) stopFor(now time.Time, j *jobs.Job, want int, victims []victim) {
-	l := n.lead
 	for _, v := range victims {
 		if want <= 0 {
 			return
@@ -117,11 +115,7 @@
 		want -= max(int(v.a.Job.CPUs/max(j.CPUs, 0.1)), 1)
 		n.holdFor(v.m, j)
 		n.log.Info("stopping a task for another job", "task", v.a.Key, "machine", v.m.ID, "for", j.ID)
-		n.box.Add(outbox.Call{Service: outbox.Worker, Addr: v.m.Addr, Method: "POST", Path: "/commands",
-			Body: workers.Direct{Token: l.token, Session: v.m.Session,
-				Commands: []workers.Command{workers.Kill(v.a.Key.String(), v.a.Number, v.a.Job.Save.Seconds())}},
-			// What became of it the next report tells; that repeats the order if need be.
-			Timeout: time.Second, Done: func(time.Time, outbox.Result) {}})
+		n.stop(v.m, []workers.Command{workers.Kill(v.a.Key.String(), v.a.Number, v.a.Job.Save.Seconds())})
 	}
 }
 
--- a/internal/node/reports.go
+++ b/internal/node/reports.go
@@ -100,7 +100,7 @@
 			if j.Service {
 				break // a replica runs until its job is cancelled: it is started again
 			}
-			if !a.Running.IsZero() {
+			if !a.Running.IsZero() && !j.Resumed[a.Key.Task] {
 				l.planner.Learn(j, now.Sub(a.Running))
 			}
 			if j.TaskDone(a.Key.Task) {
@@ -115,6 +115,9 @@
 			j.NotBefore = now.Add(2 * time.Second)
 			n.log.Info("start refused", "task", a.Key, "machine", m.ID, "why", e.Why)
 		}
+		if e.Saved {
+			j.Resumed[a.Key.Task] = true
+		}
 		j.Again(a.Key.Task)
 	}
 }
--- a/internal/node/sizing.go
+++ b/internal/node/sizing.go
@@ -306,7 +306,7 @@
 			if now.Sub(m.Answered) > n.leaseEnd()+15*time.Second {
 				reason = "lost"
 			}
-		case (m.Draining == "faulty" || m.Draining == surplus) && len(m.Attempts) == 0:
+		case (m.Draining == "faulty" || m.Draining == surplus || m.Draining == thin) && len(m.Attempts) == 0:
 			reason = m.Draining
 		case m.Draining != "" || len(m.Attempts) > 0 || n.paidFor(now, id) > 0:
 		case waiting == 0 && now.Sub(m.IdleSince) > n.opt.IdleAfter, now.Sub(m.IdleSince) > 3*n.opt.IdleAfter:
@@ -315,7 +315,7 @@
 		if reason == "" {
 			continue
 		}
-		if m != nil && (m.Draining == "" || m.Draining == surplus) {
+		if m != nil && (m.Draining == "" || m.Draining == surplus || m.Draining == thin) {
 			m.Draining = returned
 		}
 		why[reason] = append(why[reason], id)
--- /dev/null
+++ b/internal/node/thin.go
@@ -0,0 +1,129 @@
+package node
+
+import (
+	"slices"
+	"time"
+
+	"gullrudder/internal/jobs"
+	"gullrudder/internal/outbox"
+	"gullrudder/internal/place"
+	"gullrudder/internal/workers"
+)
+
+// thin is the reason of machines that are emptied because the others suffice.
+const thin = "thin"
+
+const (
+	// spare is the share of the fleet's CPUs that stays free for what arrives next.
+	spare = 0.1
+	// settled is how long a task runs on a machine before it may be moved (again).
+	settled = 30 * time.Second
+	// moveGain is how many times over the price of a move must come back: its CPUs stand
+	// still while the task saves and its image is fetched.
+	moveGain = 3
+)
+
+// thinOut empties machines that are hardly used, where the fuller ones have room for their
+// tasks and the fleet stays large enough for what waits and some more: without it a few long
+// tasks keep many machines to the end of a day. Only tasks that save are moved.
+func (n *Node) thinOut(now time.Time) {
+	l := n.lead
+	slack := 0.0
+	var list []*workers.Machine // the emptiest first
+	for level := 1; level <= workers.Levels; level++ {
+		for _, m := range l.fleet.Level(level) {
+			if m.Draining == "" && m.Accounted && !l.fleet.Expired(now, m) {
+				list = append(list, m)
+				slack += (1-spare)*m.CPUs - m.UsedCPU
+			}
+		}
+	}
+	for _, e := range l.order {
+		slack -= float64(n.wanted(e.Job)) * e.Job.CPUs
+	}
+	if slack <= 0 {
+		return
+	}
+	slices.SortStableFunc(list, func(a, b *workers.Machine) int {
+		if place.Fuller(b, a) {
+			return -1
+		}
+		return 1
+	})
+	free := make([]workers.Room, len(list))
+	for i, m := range list {
+		free[i] = m.Free()
+	}
+	for i, m := range list {
+		// A tenth of the fleet at a time: what is moved has to start anew elsewhere.
+		if slack < m.CPUs || i > len(list)/10 {
+			return
+		}
+		if len(m.Attempts) > 0 && n.paidFor(now, m.ID) == 0 && n.movable(now, m) && fitElsewhere(m, list[i+1:], free[i+1:]) {
+			slack -= m.CPUs
+			n.emptyOut(now, m)
+		}
+	}
+}
+
+// movable reports whether all tasks on the machine save, and whether emptying it is worth
+// what moving them costs.
+func (n *Node) movable(now time.Time, m *workers.Machine) bool {
+	var last time.Duration // until the machine would be empty by itself
+	cost := 0.0            // CPU seconds that stand still
+	for _, a := range m.Attempts {
+		if !stoppable(now, a) || now.Sub(a.Assigned) < settled {
+			return false
+		}
+		last = max(last, n.lead.planner.PerTask(a.Job)-now.Sub(a.Running))
+		cost += a.Job.CPUs * (a.Job.Save + m.Store.Fetch(a.Job.ImageGB) + n.cfg.ReportEvery).Seconds()
+	}
+	return last.Seconds()*m.CPUs > moveGain*cost
+}
+
+// fitElsewhere lays all tasks of the machine into the free room of others, the fullest
+// first. If not all fit, nothing is taken.
+func fitElsewhere(m *workers.Machine, others []*workers.Machine, free []workers.Room) bool {
+	type taken struct {
+		i int
+		j *jobs.Job
+	}
+	var laid []taken
+	for _, a := range m.Attempts {
+		found := false
+		for i := len(others) - 1; i >= 0 && !found; i-- {
+			if free[i].Fits(a.Job) > 0 && place.Usable(a.Job, others[i]) && others[i].HeldFor == nil {
+				free[i] = free[i].Take(a.Job, 1)
+				laid = append(laid, taken{i, a.Job})
+				found = true
+			}
+		}
+		if !found {
+			for _, t := range laid {
+				free[t.i] = free[t.i].Take(t.j, -1)
+			}
+			return false
+		}
+	}
+	return true
+}
+
+// emptyOut has all tasks of a machine save and stop; it is returned once they have.
+func (n *Node) emptyOut(now time.Time, m *workers.Machine) {
+	m.Draining = thin
+	n.log.Info("emptying a machine", "machine", m.ID, "tasks", len(m.Attempts))
+	var list []workers.Command
+	for _, a := range m.Attempts {
+		a.Stopping = now
+		list = append(list, workers.Kill(a.Key.String(), a.Number, a.Job.Save.Seconds()))
+	}
+	n.stop(m, list)
+}
+
+// stop sends kills at once. What became of them the next report tells; the answer to that
+// repeats the order if need be.
+func (n *Node) stop(m *workers.Machine, list []workers.Command) {
+	n.box.Add(outbox.Call{Service: outbox.Worker, Addr: m.Addr, Method: "POST", Path: "/commands",
+		Body:    workers.Direct{Token: n.lead.token, Session: m.Session, Commands: list},
+		Timeout: time.Second, Done: func(time.Time, outbox.Result) {}})
+}
