--- a/internal/node/thin.go
+++ b/internal/node/thin.go
@@ -54,13 +54,24 @@
 	for i, m := range list {
 		free[i] = m.Free()
 	}
+	emptied := 0
 	for i, m := range list {
 		// A tenth of the fleet at a time: what is moved has to start anew elsewhere.
-		if slack < m.CPUs || i > len(list)/10 {
+		if emptied > len(list)/10 || m.LevelOf() > workers.Levels/2 {
 			return
 		}
-		if len(m.Attempts) > 0 && n.paidFor(now, m.ID) == 0 && n.movable(now, m) && fitElsewhere(m, list[i+1:], free[i+1:]) {
+		if slack < m.CPUs || n.paidFor(now, m.ID) > 0 {
+			continue
+		}
+		switch {
+		case len(m.Attempts) == 0:
+			if now.Sub(m.IdleSince) > n.opt.IdleAfter/2 {
+				slack -= m.CPUs
+				m.Draining = thin
+			}
+		case n.movable(now, m) && fitElsewhere(m, list[i+1:], free[i+1:]):
 			slack -= m.CPUs
+			emptied++
 			n.emptyOut(now, m)
 		}
 	}
@@ -75,7 +86,8 @@
 		if !stoppable(now, a) || now.Sub(a.Assigned) < settled {
 			return false
 		}
-		last = max(last, n.lead.planner.PerTask(a.Job)-now.Sub(a.Running))
+		perTask := n.lead.planner.PerTask(a.Job)
+		last = max(last, perTask-now.Sub(a.Running), perTask/4)
 		cost += a.Job.CPUs * (a.Job.Save + m.Store.Fetch(a.Job.ImageGB) + n.cfg.ReportEvery).Seconds()
 	}
 	return last.Seconds()*m.CPUs > moveGain*cost
