--- a/internal/node/users.go
+++ b/internal/node/users.go
@@ -4,6 +4,7 @@
 	"errors"
 	"time"
 
+	"gullrudder/internal/fleet"
 	"gullrudder/internal/jobs"
 	"gullrudder/internal/outbox"
 	"gullrudder/internal/place"
@@ -24,12 +25,18 @@
 	// comeBack is when a user is told to try again after a refusal for want of a leader
 	// or of the state service.
 	comeBack = time.Second
-	// growth is how many machines of a kind the plan counts on beyond those that are there.
+	// growth is how many machines of a kind the plan counts on beyond those that are there,
+	// if that is more than are there already.
 	growth = 4
-	// mostPending bounds the submissions that wait for a commit.
-	mostPending = 400
+	// jobBytes is about what a submission takes of a page.
+	jobBytes = 512
 )
 
+// mostPending bounds the submissions that wait for a commit: what two seconds' changes hold.
+func (n *Node) mostPending() int {
+	return int(2*n.cfg.StateWrites) * max(n.cfg.ValueBytes/jobBytes, 1)
+}
+
 // user serves a user's request if this node leads, else hands it on to the leader once.
 func (n *Node) user(now time.Time, r *Request, serve func(time.Time, *Request)) {
 	if n.acting {
@@ -108,7 +115,7 @@
 		n.refuse(r, 503, "the state service does not take changes", 2*comeBack)
 		return
 	}
-	if l.pending >= mostPending {
+	if l.pending >= n.mostPending() {
 		n.refuse(r, 429, "too many submissions at once", 2*comeBack)
 		return
 	}
@@ -280,9 +287,11 @@
 func (n *Node) room(now time.Time) plan.Room {
 	l := n.lead
 	var r plan.Room
+	held := map[fleet.Kind]int{}
 	for _, h := range l.cloud.Hosts {
 		if t := l.cloud.Types[h.Kind.Type]; t != nil && !h.Deleting {
 			r.CPUs += t.CPUs
+			held[h.Kind]++
 		}
 	}
 	for _, t := range l.cloud.Types {
@@ -290,9 +299,9 @@
 		for _, z := range t.Zones {
 			for _, spot := range []bool{false, true} {
 				// Capacity is not published: a kind that was not refused lately is
-				// taken to have a few more.
-				if l.cloud.Askable(now, kindOf(t, z, spot)) {
-					r.Growth += growth * t.CPUs
+				// taken to have as many again, or a few.
+				if k := kindOf(t, z, spot); l.cloud.Askable(now, k) {
+					r.Growth += float64(max(growth, held[k])) * t.CPUs
 					r.Boot = max(r.Boot, t.Boot())
 				}
 			}
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -12,6 +12,7 @@
 
 	"gullrudder/internal/jobs"
 	"gullrudder/internal/leader"
+	"gullrudder/internal/ledger"
 	"gullrudder/internal/packed"
 )
 
@@ -301,6 +302,25 @@
 	return nil, fmt.Errorf("job %s is in no page", id)
 }
 
+// pages counts the ledger's keys.
+func (s *StateService) pages() int {
+	n := 0
+	for k := range s.keys {
+		if strings.HasPrefix(k, ledger.Prefix) {
+			n++
+		}
+	}
+	return n
+}
+
+// mark is the mark of the leader's key, 0 if nobody leads.
+func (s *StateService) mark() uint64 {
+	if k := s.keys[leader.Key]; k != nil {
+		return k.mark
+	}
+	return 0
+}
+
 // leader names the controller that holds the leader's key, if any does.
 func (s *StateService) leader() string {
 	k := s.keys[leader.Key]
--- a/internal/standin/users.go
+++ b/internal/standin/users.go
@@ -11,9 +11,10 @@
 
 // Users submit jobs, ask about them and cancel some.
 type Users struct {
-	w    *World
-	next int
-	ids  []string
+	w       *World
+	next    int
+	ids     []string
+	slowest time.Duration // the longest that an answer has taken
 }
 
 func newUsers(w *World) *Users { return &Users{w: w} }
@@ -114,6 +115,7 @@
 					ID    string `msgpack:"id"`
 					State string `msgpack:"trim"`
 				}
+				u.slowest = max(u.slowest, u.w.Now.Sub(asked))
 				if raw, err := encode(body); err == nil && status/100 == 2 && packed.Unmarshal(raw, &a) != nil {
 					u.w.breakRule("an answer cannot be read")
 				}
