--- a/internal/node/gangs.go
+++ b/internal/node/gangs.go
@@ -35,7 +35,7 @@
 		switch {
 		case m.Attempts[a.Key] != a:
 			delete(l.booked, a) // its machine is gone
-		case m.Draining != "" || !a.Job.Live() || now.Sub(a.Assigned) > 2*n.cfg.ReportEvery+time.Second:
+		case m.Draining != workers.InUse || !a.Job.Live() || now.Sub(a.Assigned) > 2*n.cfg.ReportEvery+time.Second:
 			delete(l.booked, a)
 			l.fleet.Unbook(m, a)
 			a.Job.Again(a.Key.Task)
--- a/internal/node/placing.go
+++ b/internal/node/placing.go
@@ -182,7 +182,7 @@
 // starts picks what the machine starts now.
 func (n *Node) starts(now time.Time, m *workers.Machine, most int) []workers.Command {
 	l := n.lead
-	if !l.placing || !m.Accounted || !m.Rostered || m.Draining != "" || m.CPUs+m.Mem == 0 || now.Before(m.RoomFrom) {
+	if !l.placing || !m.Accounted || !m.Rostered || m.Draining != workers.InUse || m.CPUs+m.Mem == 0 || now.Before(m.RoomFrom) {
 		return nil
 	}
 	n.rank(now)
--- a/internal/node/reports.go
+++ b/internal/node/reports.go
@@ -143,8 +143,8 @@
 		j.BadHosts = nil
 		return
 	}
-	if len(m.Failed) >= 2 && m.Draining == "" {
-		m.Draining = "faulty"
+	if len(m.Failed) >= 2 && m.Draining == workers.InUse {
+		m.Draining = workers.Faulty
 		n.log.Info("machine quarantined", "machine", m.ID, "jobs", len(m.Failed))
 	}
 }
--- a/internal/node/silence.go
+++ b/internal/node/silence.go
@@ -8,9 +8,6 @@
 	"gullrudder/internal/workers"
 )
 
-// silent is the reason of machines that are given back because nothing is heard of them.
-const silent = "silent"
-
 const (
 	// askAgain is how long a worker has to answer before it is asked again.
 	askAgain = time.Second
@@ -78,7 +75,7 @@
 	var ids []string
 	known := 0
 	for id, m := range l.fleet.Machines {
-		if !m.Up && !m.Rostered || m.Draining == silent || m.Draining == returned {
+		if !m.Up && !m.Rostered || m.Draining == workers.Silent || m.Draining == workers.Returned {
 			continue
 		}
 		known++
@@ -97,7 +94,7 @@
 		return
 	}
 	for _, id := range ids {
-		l.fleet.Machines[id].Draining = silent
+		l.fleet.Machines[id].Draining = workers.Silent
 	}
-	l.cloud.Return(now, ids, silent)
+	l.cloud.Return(now, ids, string(workers.Silent))
 }
--- a/internal/node/sizing.go
+++ b/internal/node/sizing.go
@@ -160,7 +160,7 @@
 			f.add(h.Kind, t)
 			continue
 		}
-		if m.Draining == "" && !l.fleet.Expired(now, m) {
+		if m.Draining == workers.InUse && !l.fleet.Expired(now, m) {
 			f.add(h.Kind, t)
 			f.open[len(f.open)-1].free = m.Free()
 		}
@@ -248,19 +248,13 @@
 	return max(minCharge-now.Sub(h.Born), 0)
 }
 
-// returned is the reason of machines that are on their way back to the cloud.
-const returned = "returned"
-
-// surplus is the reason of machines that get nothing more because cheaper ones suffice.
-const surplus = "surplus"
-
 // shed stops to use the dearer kinds once the cheaper machines that are up would get
 // through the work well before the dearer ones were worth renting.
 func (n *Node) shed(now time.Time, opts []option, work ahead) {
 	l := n.lead
 	up := map[fleet.Kind][]*workers.Machine{}
 	for _, m := range l.fleet.Machines {
-		if m.Up && (m.Draining == "" || m.Draining == surplus) {
+		if m.Up && (m.Draining == workers.InUse || m.Draining == workers.Surplus) {
 			up[place.Kind(m)] = append(up[place.Kind(m)], m)
 		}
 	}
@@ -271,10 +265,10 @@
 		for _, m := range up[o.kind] {
 			cheaper += m.CPUs
 			switch {
-			case spare && m.Draining == "" && n.paidFor(now, m.ID) == 0:
-				m.Draining = surplus
-			case !spare && m.Draining == surplus:
-				m.Draining = ""
+			case spare && m.Draining == workers.InUse && n.paidFor(now, m.ID) == 0:
+				m.Draining = workers.Surplus
+			case !spare && m.Draining == workers.Surplus:
+				m.Draining = workers.InUse
 			}
 		}
 	}
@@ -306,17 +300,17 @@
 			if now.Sub(m.Answered) > n.leaseEnd()+15*time.Second {
 				reason = "lost"
 			}
-		case (m.Draining == "faulty" || m.Draining == surplus || m.Draining == thin) && len(m.Attempts) == 0:
-			reason = m.Draining
-		case m.Draining != "" || len(m.Attempts) > 0 || n.paidFor(now, id) > 0:
+		case m.Draining.Leaving() && len(m.Attempts) == 0:
+			reason = string(m.Draining)
+		case m.Draining != workers.InUse || len(m.Attempts) > 0 || n.paidFor(now, id) > 0:
 		case waiting == 0 && now.Sub(m.IdleSince) > n.opt.IdleAfter, now.Sub(m.IdleSince) > 3*n.opt.IdleAfter:
 			reason = "idle"
 		}
 		if reason == "" {
 			continue
 		}
-		if m != nil && (m.Draining == "" || m.Draining == surplus || m.Draining == thin) {
-			m.Draining = returned
+		if m != nil && (m.Draining == workers.InUse || m.Draining.Leaving()) {
+			m.Draining = workers.Returned
 		}
 		why[reason] = append(why[reason], id)
 	}
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -93,7 +93,7 @@
 			if len(s.Machines) == mostHostsShown {
 				break
 			}
-			state := m.Draining
+			state := string(m.Draining)
 			switch {
 			case state != "":
 			case l.fleet.Expired(now, m):
--- a/internal/node/takeover_test.go
+++ b/internal/node/takeover_test.go
@@ -86,7 +86,7 @@
 		}
 		deleted := 0
 		for i, m := range n.lead.fleet.Sorted() {
-			if m.Draining == silent {
+			if m.Draining == workers.Silent {
 				deleted++
 				if i >= c.silent {
 					t.Errorf("%s is deleted though it reports", m.ID)
@@ -128,7 +128,7 @@
 		n.thinOut(now)
 		var drained []string
 		for _, m := range all {
-			if m.Draining == thin && len(m.Attempts) > 0 {
+			if m.Draining == workers.Thin && len(m.Attempts) > 0 {
 				drained = append(drained, m.ID)
 			}
 		}
--- a/internal/node/thin.go
+++ b/internal/node/thin.go
@@ -10,9 +10,6 @@
 	"gullrudder/internal/workers"
 )
 
-// thin is the reason of machines that are emptied because the others suffice.
-const thin = "thin"
-
 const (
 	// spare is the share of the fleet's CPUs that stays free for what arrives next.
 	spare = 0.1
@@ -32,7 +29,7 @@
 	var list []*workers.Machine // the emptiest first
 	for level := 1; level <= workers.Levels; level++ {
 		for _, m := range l.fleet.Level(level) {
-			if m.Draining == "" && m.Accounted && !l.fleet.Expired(now, m) {
+			if m.Draining == workers.InUse && m.Accounted && !l.fleet.Expired(now, m) {
 				list = append(list, m)
 				slack += (1-spare)*m.CPUs - m.UsedCPU
 			}
@@ -67,7 +64,7 @@
 		case len(m.Attempts) == 0:
 			if now.Sub(m.IdleSince) > n.opt.IdleAfter/2 {
 				slack -= m.CPUs
-				m.Draining = thin
+				m.Draining = workers.Thin
 			}
 		case n.movable(now, m) && fitElsewhere(m, list[i+1:], free[i+1:]):
 			slack -= m.CPUs
@@ -122,7 +119,7 @@
 
 // emptyOut has all tasks of a machine save and stop; it is returned once they have.
 func (n *Node) emptyOut(now time.Time, m *workers.Machine) {
-	m.Draining = thin
+	m.Draining = workers.Thin
 	n.log.Info("emptying a machine", "machine", m.ID, "tasks", len(m.Attempts))
 	var list []workers.Command
 	for _, a := range m.Attempts {
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -84,7 +84,7 @@
 
 // Usable reports whether tasks of the job may be started on the machine if there is room.
 func Usable(j *jobs.Job, m *workers.Machine) bool {
-	return m.Draining == "" && m.CPUs+m.Mem > 0 && (len(m.Failed) == 0 || !m.Failed[j.ID]) && KindAllowed(j, Kind(m))
+	return m.Draining == workers.InUse && m.CPUs+m.Mem > 0 && (len(m.Failed) == 0 || !m.Failed[j.ID]) && KindAllowed(j, Kind(m))
 }
 
 // RoundUp is the room that a guaranteed job is planned with: a power-of-two share of a
--- a/internal/workers/workers.go
+++ b/internal/workers/workers.go
@@ -30,7 +30,7 @@
 	Rostered  bool      // the ledger says that it may hold tasks
 	Enrolling bool      // that is on its way into the ledger
 	NoticeAt  time.Time // when the cloud takes it away; zero: no notice
-	Draining  string    // why nothing more starts here; empty: usable
+	Draining  Drain
 	IdleSince time.Time
 	RoomFrom  time.Time       // no start before this, after a refusal for room
 	Failed    map[string]bool // jobs that ended here with an error
@@ -319,8 +319,8 @@
 		f.log.Info("the cloud takes a machine back", "machine", m.ID, "in", *r.Notice)
 	}
 	m.NoticeAt = now.Add(time.Duration(max(min(*r.Notice, 3600), 0) * float64(time.Second)))
-	if m.Draining == "" {
-		m.Draining = "notice"
+	if m.Draining == InUse {
+		m.Draining = Noticed
 	}
 }
 
