--- a/internal/standin/rules_test.go
+++ b/internal/standin/rules_test.go
@@ -32,6 +32,7 @@
 // A day without troubles ends with all work done; without this, a model that finds no
 // broken rule could be one that sees nothing run.
 func TestQuietDayGetsAllWorkDone(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(3) {
 		w := New(seed, options(), quiet())
 		for i := range 25 {
@@ -53,6 +54,7 @@
 // A report that was held up shows a machine without the tasks that an earlier leader has
 // started since. A new leader must not believe it: the worker has not seen its token.
 func TestNewLeaderDoesNotBelieveAnEarlierReport(t *testing.T) {
+	t.Parallel()
 	w := New(5, options(), quiet())
 	for i := range 20 {
 		w.At(time.Duration(i)*500*time.Millisecond, func() {
@@ -167,6 +169,7 @@
 // The rules hold under any schedule of crashes, outages, cuts, pauses, lost and late
 // messages, and afterwards all accepted work gets done.
 func TestRulesUnderTroubles(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		seed := rapid.Uint64().Draw(t, "seed")
 		w := playTroubles(seed, drawTroubles(t))
--- a/internal/standin/size_test.go
+++ b/internal/standin/size_test.go
@@ -18,6 +18,7 @@
 // At a hundred machines and with pages that fill up, the rules hold through the end of every
 // controller, an outage, and a cut of a quarter of the machines, and all work gets done.
 func TestRulesAtSize(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(2) {
 		w := New(seed, large(), quiet())
 		for i := range 90 {
@@ -57,6 +58,7 @@
 // Ten times the submissions at once, and many withdrawals: what cannot be taken is refused
 // at once, the leadership holds, and afterwards everything accepted is done or cancelled.
 func TestBurstOfSubmissionsAndWithdrawals(t *testing.T) {
+	t.Parallel()
 	opt := large()
 	opt.Loss = 0
 	w := New(3, opt, quiet())
