--- a/internal/node/placing.go
+++ b/internal/node/placing.go
@@ -48,7 +48,7 @@
 // what it takes for a job (measured, with its hold: BenchmarkRank).
 const (
 	rankShare = 0.1
-	rankCost  = 3 * time.Microsecond
+	rankCost  = 4 * time.Microsecond
 )
 
 // rankEvery is how often the order is made anew at most.
--- a/internal/node/silence.go
+++ b/internal/node/silence.go
@@ -14,8 +14,8 @@
 	// unheard is after how many questions without an answer a machine counts as silent.
 	unheard = 2
 	// askPerShare is how many workers a second a whole processor could ask. A question is a
-	// connection and two messages, under half a millisecond; at this rate less than half of
-	// our share goes into questions, and reports, users and the renewal keep theirs.
+	// connection and two messages, taken for half a millisecond at most; at this rate half of
+	// our share is left to reports, users and the renewal.
 	askPerShare = 1000
 )
 
--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -249,7 +249,7 @@
 
 // Order ranks the jobs that may run: services by their priority, the guaranteed jobs by
 // deadline, then best effort: what a team's guarantee covers, what has waited past its
-// bound, then the shortest remaining time. Payoff steps: a job whose last aim is missed
+// bound, what is bound by its team's limit, then the shortest remaining time. Payoff steps: a job whose last aim is missed
 // already earns nothing by being early and goes last, until it has waited past the
 // operators' bound.
 func (p *Planner) Order(now time.Time, live []*jobs.Job, room Room) []Entry {
