One list of the machines that are up, one mark of unsaved pages, a roster entry sized as it is

The walk over the levels stood twice, the test for a full machine three times, and whether a page is unsaved was kept in two places. Since the ledger no longer encodes what has a reservation, a roster entry trusted one of 40 bytes whatever address a worker reports; its size is measured again. No other change in behaviour.

--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -47,7 +47,6 @@
 	mark    uint64
 	entries map[string]*entry
 	size    int
-	dirty   bool
 	urgent  bool
 	since   time.Time // when the oldest unsaved change was made
 	waiters []func(time.Time, bool)
@@ -190,7 +189,7 @@
 }
 
 // Set changes an entry. reserve is the most JSON bytes its value may come to need while
-// it lives, 0 if it will not grow; the entry never leaves its page. then, if given, is called with true once
+// it lives, 0 if it is what the value needs now; the entry never leaves its page. then, if given, is called with true once
 // the change is durable, or with false if that has become doubtful; in that case the
 // change stays and goes on to be written.
 func (l *Ledger) Set(now time.Time, name string, v any, reserve int, urgent bool, then func(now time.Time, ok bool)) error {
@@ -251,9 +250,8 @@
 }
 
 func (l *Ledger) touch(now time.Time, p *page, urgent bool, then func(time.Time, bool)) {
-	if !p.dirty {
-		p.dirty, p.since, p.urgent = true, now, false
-		l.dirty[p] = true
+	if !l.dirty[p] {
+		l.dirty[p], p.since, p.urgent = true, now, false
 	}
 	p.urgent = p.urgent || urgent
 	if then != nil {
@@ -269,11 +267,12 @@
 	}
 	var best *page
 	better := func(a, b *page) bool {
-		if (a.dirty && a.urgent) != (b.dirty && b.urgent) {
-			return a.dirty && a.urgent
+		da, db := l.dirty[a], l.dirty[b]
+		if (da && a.urgent) != (db && b.urgent) {
+			return da && a.urgent
 		}
-		if a.dirty != b.dirty {
-			return a.dirty
+		if da != db {
+			return da
 		}
 		if a.size != b.size {
 			return a.size > b.size
@@ -348,7 +347,7 @@
 		}
 		apply = append(apply, map[string]any{"write": p.key, "value": v})
 		t.waiters = append(t.waiters, p.waiters)
-		p.dirty, p.urgent, p.waiters = false, false, nil
+		p.urgent, p.waiters = false, nil
 		delete(l.dirty, p)
 	}
 	l.flight = t
@@ -409,9 +408,8 @@
 	l.pauseTo = now.Add(min(max(l.delay, after), 2*time.Second))
 	for i, p := range t.pages {
 		p.waiters = append(t.waiters[i], p.waiters...)
-		if !p.dirty {
-			p.dirty, p.since = true, now
-			l.dirty[p] = true
+		if !l.dirty[p] {
+			l.dirty[p], p.since = true, now
 		}
 		p.urgent = true
 	}
--- a/internal/node/placing.go
+++ b/internal/node/placing.go
@@ -143,10 +143,7 @@
 
 // byRoom lists the machines that are up, those with the most free CPUs first.
 func (n *Node) byRoom() []*workers.Machine {
-	list := make([]*workers.Machine, 0, len(n.lead.fleet.Machines))
-	for level := 1; level <= workers.Levels; level++ {
-		list = append(list, n.lead.fleet.Level(level)...)
-	}
+	list := n.lead.fleet.Up()
 	slices.SortFunc(list, func(a, b *workers.Machine) int {
 		return cmp.Or(cmp.Compare(b.CPUs-b.UsedCPU, a.CPUs-a.UsedCPU), cmp.Compare(b.CPUs, a.CPUs), compareIDs(a, b))
 	})
@@ -187,7 +184,8 @@
 	}
 	n.rank(now)
 	list := n.bookedStarts(now, m, most)
-	for rest := l.waiting; len(rest) > 0; {
+	full := func() bool { return len(list) >= most || m.CPUs-m.UsedCPU < l.least-1e-6 }
+	for rest := l.waiting; len(rest) > 0 && !full(); {
 		same := 1
 		for same < len(rest) && rest[same].Rank == rest[0].Rank {
 			same++
@@ -195,7 +193,7 @@
 		// Among jobs of one rank those go first whose image is here.
 		for _, near := range [...]bool{true, false} {
 			for _, e := range rest[:same] {
-				if len(list) >= most || m.CPUs-m.UsedCPU < l.least-1e-6 {
+				if full() {
 					break
 				}
 				if n.near(now, e.Job, m) == near {
@@ -206,9 +204,6 @@
 			}
 		}
 		rest = rest[same:]
-		if len(list) >= most || m.CPUs-m.UsedCPU < l.least-1e-6 {
-			break
-		}
 	}
 	if len(list) > 0 {
 		m.IdleSince = now
--- a/internal/node/reports.go
+++ b/internal/node/reports.go
@@ -61,7 +61,7 @@
 	if m.Addr == "" {
 		m.Addr = rep.Addr
 	}
-	err := l.ledger.Set(now, rosterPrefix+m.ID, rosterEntry{Addr: rep.Addr}, 40, true, func(_ time.Time, ok bool) {
+	err := l.ledger.Set(now, rosterPrefix+m.ID, rosterEntry{Addr: rep.Addr}, 0, true, func(_ time.Time, ok bool) {
 		if ok && l.fleet.Machines[m.ID] == m {
 			m.Rostered, m.Enrolling = true, false
 		}
--- a/internal/node/thin.go
+++ b/internal/node/thin.go
@@ -27,12 +27,10 @@
 	l := n.lead
 	slack := 0.0
 	var list []*workers.Machine // the emptiest first
-	for level := 1; level <= workers.Levels; level++ {
-		for _, m := range l.fleet.Level(level) {
-			if m.Draining == workers.InUse && m.Accounted && !l.fleet.Expired(now, m) {
-				list = append(list, m)
-				slack += (1-spare)*m.CPUs - m.UsedCPU
-			}
+	for _, m := range l.fleet.Up() {
+		if m.Draining == workers.InUse && m.Accounted && !l.fleet.Expired(now, m) {
+			list = append(list, m)
+			slack += (1-spare)*m.CPUs - m.UsedCPU
 		}
 	}
 	for _, e := range l.order {
--- a/internal/workers/workers.go
+++ b/internal/workers/workers.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"slices"
 	"sort"
 	"time"
 
@@ -160,6 +161,9 @@
 // Level lists the machines of a level, 1 to Levels. It is for looking only.
 func (f *Fleet) Level(level int) []*Machine { return f.levels[level] }
 
+// Up lists the machines that are up, the emptiest levels first.
+func (f *Fleet) Up() []*Machine { return slices.Concat(f.levels[1:]...) }
+
 // LevelOf is the level of a machine, 0 if it is on none.
 func (m *Machine) LevelOf() int { return m.level }
 
