--- a/cmd/gullrudder/client.go
+++ b/cmd/gullrudder/client.go
@@ -12,9 +12,9 @@
 
 	"github.com/spf13/cobra"
 
-	"gullrudder/internal/httpwire"
-	"gullrudder/internal/node"
-	"gullrudder/internal/packed"
+	"gullrudder/internal/controller/node"
+	"gullrudder/internal/wire/httpwire"
+	"gullrudder/internal/wire/packed"
 )
 
 // Exit codes, besides 0 and 2 for wrong usage or settings.
--- a/cmd/gullrudder/serve.go
+++ b/cmd/gullrudder/serve.go
@@ -12,7 +12,7 @@
 	"github.com/spf13/cobra"
 
 	"gullrudder/internal/config"
-	"gullrudder/internal/node"
+	"gullrudder/internal/controller/node"
 )
 
 // version is set by the release build.
--- a/internal/fleet/fleet.go
+++ b/internal/controller/fleet/fleet.go
@@ -10,8 +10,8 @@
 	"strconv"
 	"time"
 
-	"gullrudder/internal/outbox"
-	"gullrudder/internal/packed"
+	"gullrudder/internal/wire/outbox"
+	"gullrudder/internal/wire/packed"
 )
 
 // Type is a machine type.
--- a/internal/fleet/fleet_test.go
+++ b/internal/controller/fleet/fleet_test.go
@@ -6,8 +6,8 @@
 	"testing"
 	"time"
 
-	"gullrudder/internal/outbox"
-	"gullrudder/internal/packed"
+	"gullrudder/internal/wire/outbox"
+	"gullrudder/internal/wire/packed"
 )
 
 type fixture struct {
--- a/internal/jobs/jobs_test.go
+++ b/internal/controller/jobs/jobs_test.go
@@ -9,7 +9,7 @@
 	"github.com/google/go-cmp/cmp"
 	"pgregory.net/rapid"
 
-	"gullrudder/internal/packed"
+	"gullrudder/internal/wire/packed"
 )
 
 func submission() map[string]any {
--- a/internal/jobs/submit.go
+++ b/internal/controller/jobs/submit.go
@@ -5,7 +5,7 @@
 	"math"
 	"time"
 
-	"gullrudder/internal/packed"
+	"gullrudder/internal/wire/packed"
 )
 
 // Refusal is why a submission is not taken.
--- a/internal/leader/leader.go
+++ b/internal/controller/leader/leader.go
@@ -11,8 +11,8 @@
 	"strconv"
 	"time"
 
-	"gullrudder/internal/outbox"
-	"gullrudder/internal/packed"
+	"gullrudder/internal/wire/outbox"
+	"gullrudder/internal/wire/packed"
 )
 
 // Key is where the leader's name is kept.
--- a/internal/ledger/ledger_test.go
+++ b/internal/controller/ledger/ledger_test.go
@@ -9,8 +9,8 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
-	"gullrudder/internal/outbox"
-	"gullrudder/internal/packed"
+	"gullrudder/internal/wire/outbox"
+	"gullrudder/internal/wire/packed"
 )
 
 type value struct {
--- a/internal/node/gangs.go
+++ b/internal/controller/node/gangs.go
@@ -4,9 +4,9 @@
 	"sort"
 	"time"
 
-	"gullrudder/internal/jobs"
-	"gullrudder/internal/place"
-	"gullrudder/internal/workers"
+	"gullrudder/internal/controller/jobs"
+	"gullrudder/internal/controller/place"
+	"gullrudder/internal/controller/workers"
 )
 
 // gangPatience is how long a gang may be in part on its machines before it is stopped to
--- a/internal/node/index_test.go
+++ b/internal/controller/node/index_test.go
@@ -11,12 +11,12 @@
 	"pgregory.net/rapid"
 
 	"gullrudder/internal/config"
-	"gullrudder/internal/fleet"
-	"gullrudder/internal/jobs"
-	"gullrudder/internal/ledger"
-	"gullrudder/internal/place"
-	"gullrudder/internal/plan"
-	"gullrudder/internal/workers"
+	"gullrudder/internal/controller/fleet"
+	"gullrudder/internal/controller/jobs"
+	"gullrudder/internal/controller/ledger"
+	"gullrudder/internal/controller/place"
+	"gullrudder/internal/controller/plan"
+	"gullrudder/internal/controller/workers"
 )
 
 // leading is a node that leads, without an election: what it decides, and nothing around it.
--- a/internal/node/node.go
+++ b/internal/controller/node/node.go
@@ -10,14 +10,14 @@
 	"time"
 
 	"gullrudder/internal/config"
-	"gullrudder/internal/fleet"
-	"gullrudder/internal/jobs"
-	"gullrudder/internal/leader"
-	"gullrudder/internal/ledger"
-	"gullrudder/internal/outbox"
-	"gullrudder/internal/packed"
-	"gullrudder/internal/plan"
-	"gullrudder/internal/workers"
+	"gullrudder/internal/controller/fleet"
+	"gullrudder/internal/controller/jobs"
+	"gullrudder/internal/controller/leader"
+	"gullrudder/internal/controller/ledger"
+	"gullrudder/internal/controller/plan"
+	"gullrudder/internal/controller/workers"
+	"gullrudder/internal/wire/outbox"
+	"gullrudder/internal/wire/packed"
 )
 
 // Request is a request that came in. Ref is the runtime's own.
--- a/internal/node/placing.go
+++ b/internal/controller/node/placing.go
@@ -6,11 +6,11 @@
 	"slices"
 	"time"
 
-	"gullrudder/internal/fleet"
-	"gullrudder/internal/jobs"
-	"gullrudder/internal/place"
-	"gullrudder/internal/plan"
-	"gullrudder/internal/workers"
+	"gullrudder/internal/controller/fleet"
+	"gullrudder/internal/controller/jobs"
+	"gullrudder/internal/controller/place"
+	"gullrudder/internal/controller/plan"
+	"gullrudder/internal/controller/workers"
 )
 
 func kindOf(t *fleet.Type, zone string, spot bool) fleet.Kind {
--- a/internal/node/preempt.go
+++ b/internal/controller/node/preempt.go
@@ -5,10 +5,10 @@
 	"sort"
 	"time"
 
-	"gullrudder/internal/jobs"
-	"gullrudder/internal/place"
-	"gullrudder/internal/plan"
-	"gullrudder/internal/workers"
+	"gullrudder/internal/controller/jobs"
+	"gullrudder/internal/controller/place"
+	"gullrudder/internal/controller/plan"
+	"gullrudder/internal/controller/workers"
 )
 
 // victim is a running task that may be stopped for another job.
--- a/internal/node/reports.go
+++ b/internal/controller/node/reports.go
@@ -3,11 +3,11 @@
 import (
 	"time"
 
-	"gullrudder/internal/fleet"
-	"gullrudder/internal/jobs"
-	"gullrudder/internal/packed"
-	"gullrudder/internal/place"
-	"gullrudder/internal/workers"
+	"gullrudder/internal/controller/fleet"
+	"gullrudder/internal/controller/jobs"
+	"gullrudder/internal/controller/place"
+	"gullrudder/internal/controller/workers"
+	"gullrudder/internal/wire/packed"
 )
 
 // mostCommands bounds the commands of one answer, so that it stays below 64 KiB.
--- a/internal/node/run.go
+++ b/internal/controller/node/run.go
@@ -7,9 +7,9 @@
 	"time"
 
 	"gullrudder/internal/config"
-	"gullrudder/internal/httpwire"
-	"gullrudder/internal/outbox"
-	"gullrudder/internal/packed"
+	"gullrudder/internal/wire/httpwire"
+	"gullrudder/internal/wire/outbox"
+	"gullrudder/internal/wire/packed"
 )
 
 const (
--- a/internal/node/silence.go
+++ b/internal/controller/node/silence.go
@@ -3,9 +3,9 @@
 import (
 	"time"
 
-	"gullrudder/internal/outbox"
-	"gullrudder/internal/packed"
-	"gullrudder/internal/workers"
+	"gullrudder/internal/controller/workers"
+	"gullrudder/internal/wire/outbox"
+	"gullrudder/internal/wire/packed"
 )
 
 const (
--- a/internal/node/sizing.go
+++ b/internal/controller/node/sizing.go
@@ -4,10 +4,10 @@
 	"sort"
 	"time"
 
-	"gullrudder/internal/fleet"
-	"gullrudder/internal/jobs"
-	"gullrudder/internal/place"
-	"gullrudder/internal/workers"
+	"gullrudder/internal/controller/fleet"
+	"gullrudder/internal/controller/jobs"
+	"gullrudder/internal/controller/place"
+	"gullrudder/internal/controller/workers"
 )
 
 // option is a kind of machine that can be rented, with its price per CPU.
--- a/internal/node/takeover.go
+++ b/internal/controller/node/takeover.go
@@ -4,12 +4,12 @@
 	"strings"
 	"time"
 
-	"gullrudder/internal/fleet"
-	"gullrudder/internal/jobs"
-	"gullrudder/internal/leader"
-	"gullrudder/internal/ledger"
-	"gullrudder/internal/plan"
-	"gullrudder/internal/workers"
+	"gullrudder/internal/controller/fleet"
+	"gullrudder/internal/controller/jobs"
+	"gullrudder/internal/controller/leader"
+	"gullrudder/internal/controller/ledger"
+	"gullrudder/internal/controller/plan"
+	"gullrudder/internal/controller/workers"
 )
 
 // rosterPrefix marks the ledger's entries for machines that may hold tasks.
--- a/internal/node/takeover_test.go
+++ b/internal/controller/node/takeover_test.go
@@ -5,10 +5,10 @@
 	"testing"
 	"time"
 
-	"gullrudder/internal/jobs"
-	"gullrudder/internal/outbox"
-	"gullrudder/internal/packed"
-	"gullrudder/internal/workers"
+	"gullrudder/internal/controller/jobs"
+	"gullrudder/internal/controller/workers"
+	"gullrudder/internal/wire/outbox"
+	"gullrudder/internal/wire/packed"
 )
 
 // send brings a report to a node that leads and gives back what the machine is told.
--- a/internal/node/thin.go
+++ b/internal/controller/node/thin.go
@@ -4,10 +4,10 @@
 	"slices"
 	"time"
 
-	"gullrudder/internal/jobs"
-	"gullrudder/internal/outbox"
-	"gullrudder/internal/place"
-	"gullrudder/internal/workers"
+	"gullrudder/internal/controller/jobs"
+	"gullrudder/internal/controller/place"
+	"gullrudder/internal/controller/workers"
+	"gullrudder/internal/wire/outbox"
 )
 
 const (
--- a/internal/node/users.go
+++ b/internal/controller/node/users.go
@@ -4,11 +4,11 @@
 	"errors"
 	"time"
 
-	"gullrudder/internal/fleet"
-	"gullrudder/internal/jobs"
-	"gullrudder/internal/outbox"
-	"gullrudder/internal/place"
-	"gullrudder/internal/plan"
+	"gullrudder/internal/controller/fleet"
+	"gullrudder/internal/controller/jobs"
+	"gullrudder/internal/controller/place"
+	"gullrudder/internal/controller/plan"
+	"gullrudder/internal/wire/outbox"
 )
 
 type jobAnswer struct {
--- a/internal/place/place.go
+++ b/internal/controller/place/place.go
@@ -6,9 +6,9 @@
 	"math"
 
 	"gullrudder/internal/config"
-	"gullrudder/internal/fleet"
-	"gullrudder/internal/jobs"
-	"gullrudder/internal/workers"
+	"gullrudder/internal/controller/fleet"
+	"gullrudder/internal/controller/jobs"
+	"gullrudder/internal/controller/workers"
 )
 
 const grain = 1e-6
--- a/internal/plan/exhaustive_test.go
+++ b/internal/controller/plan/exhaustive_test.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"gullrudder/internal/config"
-	"gullrudder/internal/jobs"
+	"gullrudder/internal/controller/jobs"
 )
 
 // feasible tries every way to give the jobs whole CPUs term by term: the slow plain model
--- a/internal/plan/plan.go
+++ b/internal/controller/plan/plan.go
@@ -9,8 +9,8 @@
 	"time"
 
 	"gullrudder/internal/config"
-	"gullrudder/internal/jobs"
-	"gullrudder/internal/place"
+	"gullrudder/internal/controller/jobs"
+	"gullrudder/internal/controller/place"
 )
 
 // Planner holds what the plan is made from.
--- a/internal/plan/plan_test.go
+++ b/internal/controller/plan/plan_test.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"gullrudder/internal/config"
-	"gullrudder/internal/jobs"
+	"gullrudder/internal/controller/jobs"
 )
 
 func deadlineJob(id string, at time.Time, deadline time.Duration, tasks int, cpus float64, est time.Duration) *jobs.Job {
--- a/internal/workers/workers.go
+++ b/internal/controller/workers/workers.go
@@ -6,7 +6,7 @@
 	"sort"
 	"time"
 
-	"gullrudder/internal/jobs"
+	"gullrudder/internal/controller/jobs"
 )
 
 // Machine is one worker's machine as the leader knows it.
--- a/internal/workers/workers_test.go
+++ b/internal/controller/workers/workers_test.go
@@ -6,7 +6,7 @@
 	"testing"
 	"time"
 
-	"gullrudder/internal/jobs"
+	"gullrudder/internal/controller/jobs"
 )
 
 func setup() (*Fleet, *Machine, *jobs.Job, time.Time) {
--- a/internal/standin/cloud.go
+++ b/internal/standin/cloud.go
@@ -6,10 +6,10 @@
 	"sort"
 	"time"
 
-	"gullrudder/internal/fleet"
-	"gullrudder/internal/jobs"
-	"gullrudder/internal/packed"
-	"gullrudder/internal/workers"
+	"gullrudder/internal/controller/fleet"
+	"gullrudder/internal/controller/jobs"
+	"gullrudder/internal/controller/workers"
+	"gullrudder/internal/wire/packed"
 )
 
 // Cloud rents machines; each has a worker.
--- a/internal/standin/model.go
+++ b/internal/standin/model.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"time"
 
-	"gullrudder/internal/jobs"
+	"gullrudder/internal/controller/jobs"
 )
 
 // model is the slow plain model of the rules: who is where, and what was told to whom.
--- a/internal/standin/rules_test.go
+++ b/internal/standin/rules_test.go
@@ -10,8 +10,8 @@
 	"pgregory.net/rapid"
 
 	"gullrudder/internal/config"
-	"gullrudder/internal/packed"
-	"gullrudder/internal/workers"
+	"gullrudder/internal/controller/workers"
+	"gullrudder/internal/wire/packed"
 )
 
 func quiet() *slog.Logger {
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -10,10 +10,10 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
-	"gullrudder/internal/jobs"
-	"gullrudder/internal/leader"
-	"gullrudder/internal/ledger"
-	"gullrudder/internal/packed"
+	"gullrudder/internal/controller/jobs"
+	"gullrudder/internal/controller/leader"
+	"gullrudder/internal/controller/ledger"
+	"gullrudder/internal/wire/packed"
 )
 
 // StateService is the small consistent store.
--- a/internal/standin/users.go
+++ b/internal/standin/users.go
@@ -5,8 +5,8 @@
 	"fmt"
 	"time"
 
-	"gullrudder/internal/jobs"
-	"gullrudder/internal/packed"
+	"gullrudder/internal/controller/jobs"
+	"gullrudder/internal/wire/packed"
 )
 
 // Users submit jobs, ask about them and cancel some.
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -11,9 +11,9 @@
 	"time"
 
 	"gullrudder/internal/config"
-	"gullrudder/internal/node"
-	"gullrudder/internal/outbox"
-	"gullrudder/internal/packed"
+	"gullrudder/internal/controller/node"
+	"gullrudder/internal/wire/outbox"
+	"gullrudder/internal/wire/packed"
 )
 
 // World is everything outside of the controllers, and the controllers.
