--- a/internal/config/options.go
+++ b/internal/config/options.go
@@ -53,36 +53,40 @@
 
 type optionField struct {
 	low, high float64
-	set       func(o *Options, v float64)
+	set       func(v float64)
 }
 
-func durationField(low, high time.Duration, at func(o *Options) *time.Duration) optionField {
-	return optionField{low.Seconds(), high.Seconds(), func(o *Options, v float64) { *at(o) = Seconds(v) }}
+func durationField(low, high time.Duration, at *time.Duration) optionField {
+	return optionField{low.Seconds(), high.Seconds(), func(v float64) { *at = Seconds(v) }}
 }
 
-func optionFields() map[string]optionField {
-	return map[string]optionField{
-		"term":         durationField(time.Second, time.Hour, func(o *Options) *time.Duration { return &o.Term }),
-		"submit-lease": durationField(time.Second, time.Hour, func(o *Options) *time.Duration { return &o.SubmitLease }),
-		"team-share":   {0.01, 1000, func(o *Options, v float64) { o.TeamShare = v }},
-		"age-bound":    durationField(time.Second, 24*time.Hour, func(o *Options) *time.Duration { return &o.AgeBound }),
-		"payoff-step":  durationField(time.Second, time.Hour, func(o *Options) *time.Duration { return &o.PayoffStep }),
-		"idle-after":   durationField(time.Second, time.Hour, func(o *Options) *time.Duration { return &o.IdleAfter }),
-		"backlog":      durationField(time.Second, time.Hour, func(o *Options) *time.Duration { return &o.Backlog }),
-		"leader-lease": durationField(time.Second, time.Minute, func(o *Options) *time.Duration { return &o.LeaderLease }),
-		"promise":      durationField(time.Second, time.Minute, func(o *Options) *time.Duration { return &o.Promise }),
-		"seal-after":   durationField(0, 24*time.Hour, func(o *Options) *time.Duration { return &o.SealAfter }),
-		"seal-jobs":    {1, 100_000, func(o *Options, v float64) { o.SealJobs = int(v) }},
-		"merge-runs":   {2, 32, func(o *Options, v float64) { o.MergeRuns = int(v) }},
+// ParseOptions reads <gullrudder><term>15</term>…</gullrudder>.
+func ParseOptions(raw []byte) (Options, error) {
+	o := DefaultOptions()
+	err := parseElements(raw, "gullrudder", map[string]optionField{
+		"term":         durationField(time.Second, time.Hour, &o.Term),
+		"submit-lease": durationField(time.Second, time.Hour, &o.SubmitLease),
+		"team-share":   {0.01, 1000, func(v float64) { o.TeamShare = v }},
+		"age-bound":    durationField(time.Second, 24*time.Hour, &o.AgeBound),
+		"payoff-step":  durationField(time.Second, time.Hour, &o.PayoffStep),
+		"idle-after":   durationField(time.Second, time.Hour, &o.IdleAfter),
+		"backlog":      durationField(time.Second, time.Hour, &o.Backlog),
+		"leader-lease": durationField(time.Second, time.Minute, &o.LeaderLease),
+		"promise":      durationField(time.Second, time.Minute, &o.Promise),
+		"seal-after":   durationField(0, 24*time.Hour, &o.SealAfter),
+		"seal-jobs":    {1, 100_000, func(v float64) { o.SealJobs = int(v) }},
+		"merge-runs":   {2, 32, func(v float64) { o.MergeRuns = int(v) }},
+	})
+	if err != nil {
+		return Options{}, err
 	}
+	return o, nil
 }
 
-// ParseOptions reads <gullrudder><term>15</term>…</gullrudder>. Spans are in seconds
-// or in Go's form (90s, 2m). What is unknown, repeated or out of range is refused with
-// its line.
-func ParseOptions(raw []byte) (Options, error) {
-	o := DefaultOptions()
-	fields, seen := optionFields(), map[string]bool{}
+// parseElements reads a root element with one element for each option. Spans are in seconds or
+// in Go's form (90s, 2m). What is unknown, repeated or out of range is refused with its line.
+func parseElements(raw []byte, rootName string, fields map[string]optionField) error {
+	seen := map[string]bool{}
 	dec := xml.NewDecoder(bytes.NewReader(raw))
 	depth, name, text, root := 0, "", "", false
 	for {
@@ -90,35 +94,35 @@
 		line, _ := dec.InputPos()
 		if errors.Is(err, io.EOF) {
 			if !root {
-				return Options{}, errors.New("options: line 1: no <gullrudder> element")
+				return fmt.Errorf("options: line 1: no <%s> element", rootName)
 			}
-			return o, nil
+			return nil
 		}
 		if err != nil {
-			return Options{}, fmt.Errorf("options: line %d: %w", line, err)
+			return fmt.Errorf("options: line %d: %w", line, err)
 		}
 		switch t := tok.(type) {
 		case xml.StartElement:
 			depth++
 			if len(t.Attr) > 0 {
-				return Options{}, fmt.Errorf("options: line %d: attribute %s is unknown", line, t.Attr[0].Name.Local)
+				return fmt.Errorf("options: line %d: attribute %s is unknown", line, t.Attr[0].Name.Local)
 			}
-			if depth == 1 && t.Name.Local == "gullrudder" {
+			if depth == 1 && t.Name.Local == rootName {
 				root = true
 				continue
 			}
 			name, text = t.Name.Local, ""
 			if _, ok := fields[name]; !ok || depth != 2 {
-				return Options{}, fmt.Errorf("options: line %d: element <%s> is unknown here", line, name)
+				return fmt.Errorf("options: line %d: element <%s> is unknown here", line, name)
 			}
 			if seen[name] {
-				return Options{}, fmt.Errorf("options: line %d: <%s> is there twice", line, name)
+				return fmt.Errorf("options: line %d: <%s> is there twice", line, name)
 			}
 			seen[name] = true
 		case xml.CharData:
 			text += string(t)
 			if depth < 2 && strings.TrimSpace(string(t)) != "" {
-				return Options{}, fmt.Errorf("options: line %d: text outside an element", line)
+				return fmt.Errorf("options: line %d: text outside an element", line)
 			}
 		case xml.EndElement:
 			depth--
@@ -127,13 +131,13 @@
 			}
 			v, err := amount(strings.TrimSpace(text))
 			if err != nil {
-				return Options{}, fmt.Errorf("options: line %d: <%s>: %w", line, name, err)
+				return fmt.Errorf("options: line %d: <%s>: %w", line, name, err)
 			}
 			f := fields[name]
 			if !(v >= f.low && v <= f.high) {
-				return Options{}, fmt.Errorf("options: line %d: <%s>: %g is not between %g and %g", line, name, v, f.low, f.high)
+				return fmt.Errorf("options: line %d: <%s>: %g is not between %g and %g", line, name, v, f.low, f.high)
 			}
-			f.set(&o, v)
+			f.set(v)
 		}
 	}
 }
--- /dev/null
+++ b/internal/site/store/files.go
@@ -0,0 +1,141 @@
+package store
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"sort"
+	"syscall"
+)
+
+// Files is the directory that a store lives in. What is written counts as kept only after Sync
+// of the file, and a file's name, or its new name, only after SyncDir.
+type Files interface {
+	Create(name string) (File, error) // a new empty file, in place of an old one
+	Open(name string) (File, error)
+	Read(name string) ([]byte, error)
+	Rename(from, to string) error
+	Remove(name string) error
+	List() ([]string, error)
+	SyncDir() error
+}
+
+// File is an open file of a store.
+type File interface {
+	io.WriterAt
+	Truncate(size int64) error
+	Sync() error
+	Close() error
+}
+
+// Dir is a directory of the operating system.
+type Dir struct {
+	path string
+	lock *os.File
+}
+
+// ErrLocked says that another process has the directory.
+var ErrLocked = errors.New("another process has this directory")
+
+// LockDir takes a directory, which is made if it is not there, for this process alone.
+func LockDir(path string) (*Dir, error) {
+	if err := os.MkdirAll(path, 0o700); err != nil {
+		return nil, fmt.Errorf("data directory: %w", err)
+	}
+	lock, err := os.OpenFile(filepath.Join(path, lockName), os.O_CREATE|os.O_RDWR, 0o600)
+	if err != nil {
+		return nil, fmt.Errorf("data directory: %w", err)
+	}
+	if err := syscall.Flock(int(lock.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err != nil {
+		lock.Close()
+		if errors.Is(err, syscall.EWOULDBLOCK) {
+			return nil, fmt.Errorf("%s: %w", path, ErrLocked)
+		}
+		return nil, fmt.Errorf("lock %s: %w", path, err)
+	}
+	return &Dir{path, lock}, nil
+}
+
+// ReadDir is a directory that is only looked at, perhaps while another process has it.
+func ReadDir(path string) (*Dir, error) {
+	if _, err := os.Stat(path); err != nil {
+		return nil, fmt.Errorf("data directory: %w", err)
+	}
+	return &Dir{path: path}, nil
+}
+
+// Close gives the directory back.
+func (d *Dir) Close() error {
+	if d.lock == nil {
+		return nil
+	}
+	return d.lock.Close()
+}
+
+func (d *Dir) name(name string) string { return filepath.Join(d.path, name) }
+
+// Create makes a new file.
+func (d *Dir) Create(name string) (File, error) {
+	f, err := os.OpenFile(d.name(name), os.O_CREATE|os.O_TRUNC|os.O_RDWR, 0o600)
+	if err != nil {
+		return nil, err
+	}
+	return osFile{f}, nil
+}
+
+// Open opens a file to write to it.
+func (d *Dir) Open(name string) (File, error) {
+	f, err := os.OpenFile(d.name(name), os.O_RDWR, 0)
+	if err != nil {
+		return nil, err
+	}
+	return osFile{f}, nil
+}
+
+// Read reads a whole file.
+func (d *Dir) Read(name string) ([]byte, error) { return os.ReadFile(d.name(name)) }
+
+// Rename gives a file another name, in place of a file that had it.
+func (d *Dir) Rename(from, to string) error { return os.Rename(d.name(from), d.name(to)) }
+
+// Remove deletes a file.
+func (d *Dir) Remove(name string) error { return os.Remove(d.name(name)) }
+
+// List names the files, in order.
+func (d *Dir) List() ([]string, error) {
+	entries, err := os.ReadDir(d.path)
+	if err != nil {
+		return nil, err
+	}
+	var names []string
+	for _, e := range entries {
+		if e.Type().IsRegular() {
+			names = append(names, e.Name())
+		}
+	}
+	sort.Strings(names)
+	return names, nil
+}
+
+// SyncDir makes the names of the files last.
+func (d *Dir) SyncDir() error {
+	f, err := os.Open(d.path)
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	return f.Sync()
+}
+
+type osFile struct{ *os.File }
+
+// Sync makes the content last. The file's times need not.
+func (f osFile) Sync() error {
+	for {
+		if err := syscall.Fdatasync(int(f.Fd())); !errors.Is(err, syscall.EINTR) {
+			return err
+		}
+	}
+}
--- a/internal/wire/httpwire/parse.go
+++ b/internal/wire/httpwire/parse.go
@@ -223,11 +223,22 @@
 
 // AppendResponse encodes a response; retry of 0 leaves Retry-After out.
 func AppendResponse(out []byte, status int, body []byte, retry time.Duration, closing bool) []byte {
+	return appendResponse(out, status, "application/msgpack", body, retry, closing)
+}
+
+// AppendText encodes a response of another kind than the protocols'.
+func AppendText(out []byte, status int, kind string, body []byte, closing bool) []byte {
+	return appendResponse(out, status, kind, body, 0, closing)
+}
+
+func appendResponse(out []byte, status int, kind string, body []byte, retry time.Duration, closing bool) []byte {
 	out = append(out, "HTTP/1.1 "...)
 	out = strconv.AppendInt(out, int64(status), 10)
 	out = append(out, ' ')
 	out = append(out, reason(status)...)
-	out = append(out, "\r\nContent-Type: application/msgpack\r\nContent-Length: "...)
+	out = append(out, "\r\nContent-Type: "...)
+	out = append(out, kind...)
+	out = append(out, "\r\nContent-Length: "...)
 	out = strconv.AppendInt(out, int64(len(body)), 10)
 	if retry > 0 {
 		out = append(out, "\r\nRetry-After: "...)
@@ -254,6 +265,10 @@
 		return "Method Not Allowed"
 	case 408:
 		return "Request Timeout"
+	case 409:
+		return "Conflict"
+	case 410:
+		return "Gone"
 	case 413:
 		return "Content Too Large"
 	case 421:
--- a/internal/wire/httpwire/server.go
+++ b/internal/wire/httpwire/server.go
@@ -26,11 +26,12 @@
 	mu       sync.Mutex
 	out      []byte
 	answered bool
+	dropped  bool // the connection ends without an answer
 }
 
 // ServerOptions bound a server.
 type ServerOptions struct {
-	Public, Peer string
+	Public, Peer string // Peer may be empty
 	MaxConns     int
 	Idle         time.Duration // a connection with no request for this long is closed
 	Slow         time.Duration // a request has to be whole within this
@@ -51,7 +52,11 @@
 // Run serves until the listeners fail.
 func (s *Server) Run() error {
 	events := evio.Events{NumLoops: 1, Opened: s.opened, Closed: s.closed, Data: s.data, Tick: s.tick}
-	if err := evio.Serve(events, "tcp://"+s.opt.Public, "tcp://"+s.opt.Peer); err != nil {
+	addrs := []string{"tcp://" + s.opt.Public}
+	if s.opt.Peer != "" {
+		addrs = append(addrs, "tcp://"+s.opt.Peer)
+	}
+	if err := evio.Serve(events, addrs...); err != nil {
 		return err
 	}
 	// evio ends its loop without an error of its own when accept fails.
@@ -125,7 +130,11 @@
 	out := st.out
 	st.out = nil
 	st.answered = false
+	dropped := st.dropped
 	st.mu.Unlock()
+	if dropped {
+		return nil, evio.Close
+	}
 	action := evio.None
 	if out != nil {
 		st.waiting = false
@@ -140,6 +149,10 @@
 // Reply answers the request; only the first answer counts. It may be called from any
 // goroutine.
 func (r *Request) Reply(status int, body []byte, retry time.Duration) {
+	r.answer(AppendResponse(nil, status, body, retry, r.Message.Close))
+}
+
+func (r *Request) answer(out []byte) {
 	st := r.conn
 	st.mu.Lock()
 	if st.answered {
@@ -147,11 +160,26 @@
 		return
 	}
 	st.answered = true
-	st.out = AppendResponse(nil, status, body, retry, r.Message.Close)
+	st.out = out
 	st.mu.Unlock()
 	st.ev.Wake()
 }
 
+// Drop ends the connection without an answer: whoever asked learns that nobody knows what
+// became of the request.
+func (r *Request) Drop() {
+	st := r.conn
+	st.mu.Lock()
+	st.answered, st.dropped = true, true
+	st.mu.Unlock()
+	st.ev.Wake()
+}
+
+// ReplyText answers with plain text, as metrics are.
+func (r *Request) ReplyText(status int, kind string, body []byte) {
+	r.answer(AppendText(nil, status, kind, body, r.Message.Close))
+}
+
 func (s *Server) tick() (time.Duration, evio.Action) {
 	now := time.Now()
 	for st := range s.conns {
