--- a/internal/site/store/state.go
+++ b/internal/site/store/state.go
@@ -94,6 +94,9 @@
 // Leases lists the leases that are there.
 func (s *State) Leases() []uint64 { return slices.Sorted(maps.Keys(s.leases)) }
 
+// LastLease is the number of the last lease that was granted.
+func (s *State) LastLease() uint64 { return s.granted }
+
 // Revision is that of the last change.
 func (s *State) Revision() uint64 { return s.revision }
 
