--- a/internal/site/store/service.go
+++ b/internal/site/store/service.go
@@ -13,7 +13,10 @@
 
 const (
 	queueLength = 4096
-	batchLength = 256
+	// batchLength bounds a step. While the disk syncs what a step has changed, the next one
+	// is worked through: with large steps one would wait for the other.
+	batchLength = 16
+	answerSteps = 256 // steps whose answers are on their way out
 	tickEvery   = 20 * time.Millisecond
 	// snapshotPause is after how many tries of the disk a snapshot that failed is tried again.
 	snapshotPause = 10
@@ -36,9 +39,10 @@
 	kept      chan kept
 	work      chan keepJob
 	snapped   chan snapped
-	snapping  bool      // one is under way
-	beginning bool      // one begins after the records that are on their way
-	noSnap    time.Time // no snapshot before this
+	answers   chan []Effects // on their way out
+	snapping  bool           // one is under way
+	beginning bool           // one begins after the records that are on their way
+	noSnap    time.Time      // no snapshot before this
 	repairAt  time.Time
 	repairs   bool // a repair is under way
 }
@@ -68,13 +72,18 @@
 // NewService makes the service of a store that was opened.
 func NewService(state *State, disk *Disk, opt config.Store, watch *Metrics, log *slog.Logger) *Service {
 	return &Service{state: state, disk: disk, opt: opt, log: log, watch: watch, queue: make(chan Request, queueLength),
-		kept: make(chan kept, 1), work: make(chan keepJob, 1), snapped: make(chan snapped, 1)}
+		kept: make(chan kept, 1), work: make(chan keepJob, 1), snapped: make(chan snapped, 1), answers: make(chan []Effects, answerSteps)}
 }
 
 // Serve runs the service at an address until the listener fails.
 func (s *Service) Serve(listen string) error {
 	go s.keep()
 	go s.own()
+	go func() {
+		for steps := range s.answers {
+			s.release(steps)
+		}
+	}()
 	server := httpwire.NewServer(httpwire.ServerOptions{Public: listen, MaxConns: s.opt.Connections, Idle: 75 * time.Second,
 		Slow: 10 * time.Second, Handle: s.handle})
 	if err := server.Run(); err != nil {
@@ -158,7 +167,9 @@
 		records = append(records, e.Records...)
 	}
 	if len(records) == 0 {
-		s.release(s.open)
+		if len(s.open) > 0 {
+			s.answers <- s.open
+		}
 		s.open = nil
 		return
 	}
@@ -205,7 +216,7 @@
 	if k.err == nil {
 		s.disk.Kept(s.bytes)
 		s.watch.synced(k.took)
-		s.release(steps)
+		s.answers <- steps
 	} else {
 		s.takeBack(steps, k.err)
 	}
--- a/internal/site/store/state.go
+++ b/internal/site/store/state.go
@@ -30,6 +30,7 @@
 	mostLeases  = 10_000
 	txnBytes    = 64 << 10
 	guardsPerOp = 4
+	escaped     = 6  // JSON bytes of one byte at most
 	entryBytes  = 64 // JSON bytes of a listed entry besides key and value
 )
 
@@ -343,13 +344,13 @@
 }
 
 // check says why a transaction is malformed or over the limits, empty if it is neither.
-func (s *State) check(t *transaction, bytes int) string {
+func (s *State) check(t *transaction, body []byte) string {
 	switch {
 	case len(t.Apply) > s.opt.TxnOps:
 		return fmt.Sprintf("%d changes, at most %d are allowed", len(t.Apply), s.opt.TxnOps)
 	case len(t.Guards) > guardsPerOp*s.opt.TxnOps:
 		return fmt.Sprintf("%d guards, at most %d are allowed", len(t.Guards), guardsPerOp*s.opt.TxnOps)
-	case bytes > txnBytes:
+	case len(body)*escaped > txnBytes && packed.JSONSize(body) > txnBytes:
 		return "the transaction is larger than 64 KiB"
 	}
 	for _, g := range t.Guards {
@@ -377,7 +378,7 @@
 		s.refuse(r.Ref, 400, 0, "%v", err)
 		return
 	}
-	if why := s.check(&t, packed.JSONSize(r.Body)); why != "" {
+	if why := s.check(&t, r.Body); why != "" {
 		s.refuse(r.Ref, 400, 0, "%s", why)
 		return
 	}
