--- /dev/null
+++ b/internal/site/store/main_test.go
@@ -0,0 +1,9 @@
+package store_test
+
+import (
+	"testing"
+
+	"gullrudder/internal/steady"
+)
+
+func TestMain(m *testing.M) { steady.Main(m) }
--- /dev/null
+++ b/internal/site/store/service_test.go
@@ -0,0 +1,144 @@
+package store_test
+
+import (
+	"fmt"
+	"log/slog"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"gullrudder/internal/config"
+	"gullrudder/internal/site/store"
+	"gullrudder/internal/standin/crash"
+	"gullrudder/internal/wire/httpwire"
+	"gullrudder/internal/wire/packed"
+)
+
+// broken is a directory whose files fail when they are told to.
+type broken struct {
+	store.Files
+	mu   sync.Mutex
+	fail error
+}
+
+func (b *broken) set(err error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.fail = err
+}
+
+func (b *broken) failing() error {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.fail
+}
+
+func (b *broken) Create(name string) (store.File, error) {
+	if err := b.failing(); err != nil {
+		return nil, err
+	}
+	f, err := b.Files.Create(name)
+	return &brokenFile{f, b}, err
+}
+
+func (b *broken) Open(name string) (store.File, error) {
+	f, err := b.Files.Open(name)
+	return &brokenFile{f, b}, err
+}
+
+type brokenFile struct {
+	store.File
+	b *broken
+}
+
+func (f *brokenFile) Sync() error {
+	if err := f.b.failing(); err != nil {
+		return err
+	}
+	return f.File.Sync()
+}
+
+// The service over the network, with a disk that fails for a while: what nobody knows of gets no
+// answer, what is not taken gets 503 at once, reads go on, and once the disk works again changes
+// are taken again. Everything that was answered is there when the directory is opened anew.
+func TestServiceThroughAFailingDisk(t *testing.T) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := l.Addr().String()
+	l.Close()
+	path := t.TempDir()
+	dir, err := store.LockDir(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	files := &broken{Files: dir}
+	opt := config.DefaultStore()
+	opt.RetryAfter, opt.SnapshotLeast, opt.SnapshotShare = 20*time.Millisecond, 4096, 0
+	log := slog.New(slog.DiscardHandler)
+	state, disk, _, err := store.Open(files, opt, time.Now(), log)
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() {
+		if err := store.NewService(state, disk, opt, store.NewMetrics(), log).Serve(addr); err != nil {
+			t.Log(err)
+		}
+	}()
+	client := httpwire.NewClient(16, 8, 1<<20)
+	ask := func(r store.Request) (int, error) {
+		m, err := client.Do(addr, r.Method, r.Target, r.Body, 10*time.Second)
+		if err != nil {
+			return 0, err
+		}
+		return m.Status, nil
+	}
+	until := func(what string, r store.Request, status int) {
+		t.Helper()
+		for range 2000 {
+			if got, err := ask(r); err == nil && got == status {
+				return
+			}
+			time.Sleep(5 * time.Millisecond)
+		}
+		t.Fatalf("%s: never %d", what, status)
+	}
+	until("it starts", get("/ready"), 200)
+	var wait sync.WaitGroup
+	for c := range 8 {
+		wait.Add(1)
+		go func() {
+			defer wait.Done()
+			for i := range 100 {
+				if got, err := ask(crash.Commit(nil, []crash.Op{{Key: fmt.Sprintf("k/%d/%d", c, i), Value: "value"}})); err != nil || got != 200 {
+					t.Errorf("client %d, commit %d: %d, %v", c, i, got, err)
+				}
+			}
+		}()
+	}
+	wait.Wait()
+	files.set(fmt.Errorf("the disk fails"))
+	if got, err := ask(crash.Commit(nil, []crash.Op{{Key: "doubt", Value: "v"}})); err == nil {
+		t.Errorf("a commit whose sync failed is answered %d", got)
+	}
+	until("the next commit", crash.Commit(nil, []crash.Op{{Key: "refused", Value: "v"}}), 503)
+	if got, err := ask(get("/keys/k/3/7")); err != nil || got != 200 {
+		t.Errorf("a read while the disk fails: %d, %v", got, err)
+	}
+	if got, err := ask(get("/keys/doubt")); err != nil || got != 404 {
+		t.Errorf("what was not kept is read: %d, %v", got, err)
+	}
+	files.set(nil)
+	until("a commit once the disk works", crash.Commit(nil, []crash.Op{{Key: "after", Value: "v"}}), 200)
+	m, err := client.Do(addr, "GET", "/keys?starts=k/&most=1000", nil, 5*time.Second)
+	var a listed
+	if err != nil || packed.Unmarshal(m.Body, &a) != nil || len(a.Entries) != 800 {
+		t.Errorf("%d keys, %v", len(a.Entries), err)
+	}
+	keys, err := store.Keys(path)
+	if err != nil || len(keys) != 801 {
+		t.Errorf("%d keys in the directory, want 801: %v", len(keys), err)
+	}
+}
--- a/internal/site/store/snapshot.go
+++ b/internal/site/store/snapshot.go
@@ -227,7 +227,7 @@
 			return fail(start, err)
 		}
 	}
-	if len(raw) != at+16 || crc32.Checksum(raw[at+8:], table()) != binary.LittleEndian.Uint32(raw[at+4:]) || binary.LittleEndian.Uint64(raw[at+8:]) != keys {
+	if len(raw) != at+16 || binary.LittleEndian.Uint32(raw[at:]) != 8 || crc32.Checksum(raw[at+8:], table()) != binary.LittleEndian.Uint32(raw[at+4:]) || binary.LittleEndian.Uint64(raw[at+8:]) != keys {
 		return fail(at, errBlock)
 	}
 	return c, segment, next, nil
