--- a/internal/config/options.go
+++ b/internal/config/options.go
@@ -12,7 +12,7 @@
 	"time"
 )
 
-// Options are the operators' own settings. docs/operations.md describes each.
+// Options are the operators' own settings. docs/operations/controllers.md describes each.
 type Options struct {
 	Term        time.Duration // length of a planning step
 	SubmitLease time.Duration // span over which a team's share is counted
