--- a/cmd/gullbench/commits.go
+++ b/cmd/gullbench/commits.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"log/slog"
 	"os"
 	"path/filepath"
 	"strconv"
@@ -13,28 +14,33 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/spf13/cobra"
 
+	"gullrudder/internal/config"
+	"gullrudder/internal/site/store"
 	"gullrudder/internal/standin/crash"
 	"gullrudder/internal/wire/httpwire"
 )
 
 func commitsCommand() *cobra.Command {
 	var path, dir, counts string
-	var span time.Duration
+	var span, sync time.Duration
 	var bytes int
 	cmd := &cobra.Command{Use: "commits", Short: "Commits a second of a state service, against the least that its disk allows", Args: cobra.NoArgs,
 		Long: "For each number of clients: commits of one key each for a while, without and with snapshots all the time. Then the\n" +
 			"bytes that the log has got are written to a file on the same disk, with as many syncs: the ratio of the two times\n" +
 			"is what the service costs besides.",
-		RunE: func(cmd *cobra.Command, _ []string) error { return measureCommits(cmd, path, dir, counts, span, bytes) }}
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			return measureCommits(cmd, path, dir, counts, span, sync, bytes)
+		}}
 	cmd.Flags().StringVar(&counts, "clients", "1,16,128", "numbers of clients")
 	cmd.Flags().DurationVar(&span, "for", 5*time.Second, "how long each measurement takes")
+	cmd.Flags().DurationVar(&sync, "sync", 0, "a disk whose syncs take so much longer, in the service, which then runs in this process, and bare")
 	cmd.Flags().IntVar(&bytes, "bytes", 200, "size of a value")
 	cmd.Flags().StringVar(&path, "program", "", "the gullrudder program; it is built if none is given")
 	cmd.Flags().StringVar(&dir, "dir", "", "a directory on the disk that is measured; a temporary one if none is given")
 	return cmd
 }
 
-func measureCommits(cmd *cobra.Command, path, dir, counts string, span time.Duration, bytes int) error {
+func measureCommits(cmd *cobra.Command, path, dir, counts string, span, sync time.Duration, bytes int) error {
 	root, err := os.MkdirTemp(dir, "gullbench-commits-")
 	if err != nil {
 		return err
@@ -51,7 +57,7 @@
 			return fmt.Errorf("--clients %s: not between 1 and 900", text)
 		}
 		for _, snaps := range []bool{false, true} {
-			if err := commitsWith(cmd, path, root, n, snaps, span, bytes); err != nil {
+			if err := commitsWith(cmd, path, root, n, snaps, span, sync, bytes); err != nil {
 				return err
 			}
 		}
@@ -77,7 +83,7 @@
 	return f, nil
 }
 
-func commitsWith(cmd *cobra.Command, path, root string, clients int, snaps bool, span time.Duration, bytes int) error {
+func commitsWith(cmd *cobra.Command, path, root string, clients int, snaps bool, span, sync time.Duration, bytes int) error {
 	data := filepath.Join(root, fmt.Sprintf("data-%d-%v", clients, snaps))
 	options := filepath.Join(root, "state.xml")
 	text := "<state><connections>2000</connections><snapshot-kb>1048576</snapshot-kb></state>"
@@ -92,7 +98,12 @@
 		return err
 	}
 	p := &process{name: "state", path: path, args: []string{"state", "--data", data, "--listen", ports[0], "--metrics", ports[1], "--options", options}}
-	if err := p.start(); err != nil {
+	if sync > 0 {
+		err = serveSlowly(data, options, ports[0], ports[1], sync)
+	} else {
+		err = p.start()
+	}
+	if err != nil {
 		return err
 	}
 	defer p.kill()
@@ -121,7 +132,7 @@
 	syncs := after["sync_seconds_count"] - before["sync_seconds_count"]
 	p.kill()
 	// What the log got: a record of a commit is its key and value and about 16 bytes.
-	least, err := bareDisk(filepath.Join(root, "bare"), int(syncs), int(float64(done)*float64(bytes+40)/syncs)+20)
+	least, err := bareDisk(filepath.Join(root, "bare"), int(syncs), int(float64(done)*float64(bytes+40)/syncs)+20, sync)
 	if err != nil {
 		return err
 	}
@@ -187,7 +198,7 @@
 }
 
 // bareDisk is the time for so many writes of so many bytes, each synced.
-func bareDisk(name string, syncs, bytes int) (time.Duration, error) {
+func bareDisk(name string, syncs, bytes int, slower time.Duration) (time.Duration, error) {
 	f, err := os.Create(name)
 	if err != nil {
 		return 0, err
@@ -203,6 +214,56 @@
 		if err := syscall.Fdatasync(int(f.Fd())); err != nil {
 			return 0, err
 		}
+		time.Sleep(slower)
 	}
 	return time.Since(began), nil
 }
+
+// slowDir is a directory on a disk whose syncs take longer.
+type slowDir struct {
+	*store.Dir
+	slower time.Duration
+}
+
+type slowFile struct {
+	store.File
+	slower time.Duration
+}
+
+func (d slowDir) Create(name string) (store.File, error) {
+	f, err := d.Dir.Create(name)
+	return slowFile{f, d.slower}, err
+}
+
+func (d slowDir) Open(name string) (store.File, error) {
+	f, err := d.Dir.Open(name)
+	return slowFile{f, d.slower}, err
+}
+
+func (f slowFile) Sync() error {
+	err := f.File.Sync()
+	time.Sleep(f.slower)
+	return err
+}
+
+// serveSlowly runs the service in this process, until that ends.
+func serveSlowly(data, options, listen, metrics string, slower time.Duration) error {
+	opt, err := config.LoadStore(options)
+	if err != nil {
+		return err
+	}
+	dir, err := store.LockDir(data)
+	if err != nil {
+		return err
+	}
+	log := slog.New(slog.DiscardHandler)
+	state, disk, _, err := store.Open(slowDir{dir, slower}, opt, time.Now(), log)
+	if err != nil {
+		return err
+	}
+	watch := store.NewMetrics()
+	ended := func(err error) { fmt.Fprintln(os.Stderr, "the service ended:", err) }
+	go func() { ended(watch.Serve(metrics, log)) }()
+	go func() { ended(store.NewService(state, disk, opt, watch, log).Serve(listen)) }()
+	return nil
+}
