A gate for submissions: computed Retry-After, places in a row, teams share

Need: what came too fast was told to come back after a guessed 2 s; who asked most often got in, and one team could keep all others out. The change: standing.Gate gives tickets in the order of first attempts and shares the room between teams when it is scarce.

--- a/internal/controller/node/node.go
+++ b/internal/controller/node/node.go
@@ -16,6 +16,7 @@
 	"gullrudder/internal/controller/leader"
 	"gullrudder/internal/controller/ledger"
 	"gullrudder/internal/controller/plan"
+	"gullrudder/internal/controller/standing"
 	"gullrudder/internal/controller/workers"
 	"gullrudder/internal/wire/outbox"
 	"gullrudder/internal/wire/packed"
@@ -110,8 +111,8 @@
 	nextGang time.Time
 	nextDrop time.Time
 	reports  []pendingReport
-	late     int // bounds on waiting that were missed
-	pending  int // submissions that are not durable yet
+	late     int            // bounds on waiting that were missed
+	gate     *standing.Gate // bounds the submissions that are not durable yet
 }
 
 type final struct {
--- a/internal/controller/node/users.go
+++ b/internal/controller/node/users.go
@@ -8,6 +8,7 @@
 	"gullrudder/internal/controller/jobs"
 	"gullrudder/internal/controller/place"
 	"gullrudder/internal/controller/plan"
+	"gullrudder/internal/controller/standing"
 	"gullrudder/internal/wire/outbox"
 )
 
@@ -32,9 +33,10 @@
 	jobBytes = 512
 )
 
-// mostPending bounds the submissions that wait for a commit: what two seconds' changes hold.
-func (n *Node) mostPending() int {
-	return int(2*n.cfg.StateWrites) * max(n.cfg.ValueBytes/jobBytes, 1)
+// newGate bounds the submissions that wait for a commit: what two seconds' changes hold.
+func (n *Node) newGate() *standing.Gate {
+	rate := n.cfg.StateWrites * float64(max(n.cfg.ValueBytes/jobBytes, 1))
+	return standing.NewGate(int(2*rate), rate)
 }
 
 // user serves a user's request if this node leads, else hands it on to the leader once.
@@ -133,19 +135,18 @@
 		n.refuse(r, 503, "the state service does not take changes", 2*comeBack)
 		return
 	}
-	if l.pending >= n.mostPending() {
-		n.refuse(r, 429, "too many submissions at once", 2*comeBack)
+	if ok, retry := l.gate.Enter(now, j.Team, j.ID); !ok {
+		n.refuse(r, 429, "too many submissions at once; there is a place for this one after the time given", retry)
 		return
 	}
 	j.Guaranteed = l.planner.Admit(now, j, n.live(), n.room(now))
 	n.promise(now, j)
 	answered := false
 	counted := true
-	l.pending++
 	err = l.ledger.Set(now, j.ID, j.Record(), j.Reserve(), true, func(now time.Time, ok bool) {
 		if counted {
 			counted = false
-			l.pending--
+			l.gate.Leave(j.Team)
 		}
 		if ok && j.State == jobs.Pending {
 			j.State = jobs.Accepted
@@ -167,7 +168,7 @@
 		}
 	})
 	if err != nil {
-		l.pending--
+		l.gate.Leave(j.Team)
 		n.refuse(r, 400, "too large to be kept", 0)
 		return
 	}
