Settings for all controllers through the ledger: gullrudder settings, settings apply

Need: options were read at the start from a file on each controller. The change: an entry of the ledger holds the settings that were applied, with who changed what; they are taken whole or refused with the line, count once durable, and are read at a takeover.

--- a/cmd/gullrudder/queue.go
+++ b/cmd/gullrudder/queue.go
@@ -4,7 +4,9 @@
 	"fmt"
 	"io"
 	"net/url"
+	"os"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/spf13/cobra"
@@ -14,8 +16,10 @@
 )
 
 // get asks for something that is answered with v.
-func (a *api) get(path string, v any) error {
-	msg, err := a.ask("GET", path, nil)
+func (a *api) get(path string, v any) error { return a.send("GET", path, nil, v) }
+
+func (a *api) send(method, path string, body []byte, v any) error {
+	msg, err := a.ask(method, path, body)
 	if err != nil {
 		return err
 	}
@@ -109,3 +113,51 @@
 		fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%d\t%s\t%s\t%s\n", j.ID, j.Team, j.Class, j.Waiting, j.Running, seconds(j.Age), seconds(j.StartBy), j.Standing)
 	}
 }
+
+func settingsCommand() *cobra.Command {
+	cmd := userCommand("settings", "Show the settings that count, and who changed what", "", cobra.NoArgs, func(a *api, _ []string) error {
+		var s node.Settings
+		if err := a.get("/settings", &s); err != nil {
+			return err
+		}
+		return a.show(s, func(w io.Writer) { settingsTable(w, s) })
+	})
+	var who string
+	apply := userCommand("apply FILE", "Have other settings count, on all controllers, without a restart",
+		"The file has the form of serve's --options. It is taken as a whole or not at all; what it does not name gets its default.",
+		cobra.ExactArgs(1), func(a *api, args []string) error {
+			text, err := os.ReadFile(args[0])
+			if err != nil {
+				return &failure{2, fmt.Errorf("settings: %w", err)}
+			}
+			body, err := packed.Marshal(node.SettingsRequest{Who: who, Text: string(text)})
+			if err != nil {
+				return err
+			}
+			var s node.Settings
+			if err := a.send("POST", "/settings", body, &s); err != nil {
+				return err
+			}
+			return a.show(s, func(w io.Writer) { settingsTable(w, s) })
+		})
+	apply.Flags().StringVar(&who, "who", os.Getenv("USER"), "who changes them, for the record")
+	cmd.AddCommand(apply)
+	return cmd
+}
+
+func settingsTable(w io.Writer, s node.Settings) {
+	from := "the controllers' own files"
+	if s.Version > 0 {
+		from = fmt.Sprintf("version %d", s.Version)
+	}
+	fmt.Fprintf(w, "from\t%s\n", from)
+	for _, v := range s.Values {
+		fmt.Fprintf(w, "%s\t%g\n", v.Name, v.Value)
+	}
+	if len(s.Changes) > 0 {
+		fmt.Fprintln(w, "\nVERSION\tWHEN\tWHO\tWHAT")
+	}
+	for _, c := range s.Changes {
+		fmt.Fprintf(w, "%d\t%s\t%s\t%s\n", c.Version, time.Unix(c.At, 0).UTC().Format(time.DateTime), c.Who, strings.Join(c.What, ", "))
+	}
+}
--- a/cmd/gullrudder/serve.go
+++ b/cmd/gullrudder/serve.go
@@ -21,7 +21,7 @@
 func root() *cobra.Command {
 	cmd := &cobra.Command{Use: "gullrudder", Short: "A cluster scheduler for deadline jobs",
 		SilenceUsage: true, SilenceErrors: true}
-	cmd.AddCommand(serveCommand(), checkCommand(), submitCommand(), showCommand(), withdrawCommand(), explainCommand(), queueCommand(), statusCommand(), stateCommand(), versionCommand())
+	cmd.AddCommand(serveCommand(), checkCommand(), submitCommand(), showCommand(), withdrawCommand(), explainCommand(), queueCommand(), settingsCommand(), statusCommand(), stateCommand(), versionCommand())
 	return cmd
 }
 
--- a/internal/config/options.go
+++ b/internal/config/options.go
@@ -6,7 +6,9 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -58,33 +60,74 @@
 
 type optionField struct {
 	low, high float64
+	get       func() float64
 	set       func(v float64)
 }
 
 func durationField(low, high time.Duration, at *time.Duration) optionField {
-	return optionField{low.Seconds(), high.Seconds(), func(v float64) { *at = Seconds(v) }}
+	return optionField{low.Seconds(), high.Seconds(), func() float64 { return at.Seconds() }, func(v float64) { *at = Seconds(v) }}
 }
 
-// ParseOptions reads <gullrudder><term>15</term>…</gullrudder>.
-func ParseOptions(raw []byte) (Options, error) {
-	o := DefaultOptions()
-	err := parseElements(raw, "gullrudder", map[string]optionField{
+func numberField(low, high float64, at *float64) optionField {
+	return optionField{low, high, func() float64 { return *at }, func(v float64) { *at = v }}
+}
+
+func countField(low, high int, at *int) optionField {
+	return optionField{float64(low), float64(high), func() float64 { return float64(*at) }, func(v float64) { *at = int(v) }}
+}
+
+// fields are the options by the names of their elements.
+func (o *Options) fields() map[string]optionField {
+	return map[string]optionField{
 		"term":           durationField(time.Second, time.Hour, &o.Term),
 		"submit-lease":   durationField(time.Second, time.Hour, &o.SubmitLease),
-		"team-share":     {0.01, 1000, func(v float64) { o.TeamShare = v }},
+		"team-share":     numberField(0.01, 1000, &o.TeamShare),
 		"age-bound":      durationField(time.Second, 24*time.Hour, &o.AgeBound),
 		"payoff-step":    durationField(time.Second, time.Hour, &o.PayoffStep),
 		"idle-after":     durationField(time.Second, time.Hour, &o.IdleAfter),
 		"backlog":        durationField(time.Second, time.Hour, &o.Backlog),
 		"leader-lease":   durationField(time.Second, time.Minute, &o.LeaderLease),
 		"promise":        durationField(time.Second, time.Minute, &o.Promise),
-		"aged-share":     {0, 0.9, func(v float64) { o.AgedShare = v }},
-		"estimate-error": {1, 100, func(v float64) { o.EstimateError = v }},
+		"aged-share":     numberField(0, 0.9, &o.AgedShare),
+		"estimate-error": numberField(1, 100, &o.EstimateError),
 		"seal-after":     durationField(0, 24*time.Hour, &o.SealAfter),
-		"seal-jobs":      {1, 100_000, func(v float64) { o.SealJobs = int(v) }},
-		"merge-runs":     {2, 32, func(v float64) { o.MergeRuns = int(v) }},
-	})
-	if err != nil {
+		"seal-jobs":      countField(1, 100_000, &o.SealJobs),
+		"merge-runs":     countField(2, 32, &o.MergeRuns),
+	}
+}
+
+// Value is an option as it is shown; spans are in seconds.
+type Value struct {
+	Name  string  `msgpack:"name" json:"name"`
+	Value float64 `msgpack:"value" json:"value"`
+}
+
+// Values lists all options by name.
+func (o Options) Values() []Value {
+	fields := o.fields()
+	var list []Value
+	for _, name := range slices.Sorted(maps.Keys(fields)) {
+		list = append(list, Value{name, fields[name].get()})
+	}
+	return list
+}
+
+// Changes says in words what is another value in the other options.
+func (o Options) Changes(other Options) []string {
+	var list []string
+	then := other.Values()
+	for i, v := range o.Values() {
+		if v.Value != then[i].Value {
+			list = append(list, fmt.Sprintf("%s %g -> %g", v.Name, v.Value, then[i].Value))
+		}
+	}
+	return list
+}
+
+// ParseOptions reads <gullrudder><term>15</term>…</gullrudder>.
+func ParseOptions(raw []byte) (Options, error) {
+	o := DefaultOptions()
+	if err := parseElements(raw, "gullrudder", o.fields()); err != nil {
 		return Options{}, err
 	}
 	return o, nil
--- a/internal/config/store.go
+++ b/internal/config/store.go
@@ -42,14 +42,14 @@
 func ParseStore(raw []byte) (Store, error) {
 	s := DefaultStore()
 	err := parseElements(raw, "state", map[string]optionField{
-		"rps":            {0, 1e6, func(v float64) { s.Rate = v }},
-		"write-rps":      {0, 1e6, func(v float64) { s.WriteRate = v }},
-		"value-kb":       {1, 64, func(v float64) { s.ValueBytes = int(v * 1024) }},
-		"txn-ops":        {1, 1000, func(v float64) { s.TxnOps = int(v) }},
-		"connections":    {4, 10_000, func(v float64) { s.Connections = int(v) }},
-		"watches":        {1, 100_000, func(v float64) { s.Watches = int(v) }},
-		"snapshot-kb":    {1, 1 << 20, func(v float64) { s.SnapshotLeast = int64(v * 1024) }},
-		"snapshot-share": {0, 100, func(v float64) { s.SnapshotShare = v }},
+		"rps":            numberField(0, 1e6, &s.Rate),
+		"write-rps":      numberField(0, 1e6, &s.WriteRate),
+		"value-kb":       {1, 64, func() float64 { return float64(s.ValueBytes) / 1024 }, func(v float64) { s.ValueBytes = int(v * 1024) }},
+		"txn-ops":        countField(1, 1000, &s.TxnOps),
+		"connections":    countField(4, 10_000, &s.Connections),
+		"watches":        countField(1, 100_000, &s.Watches),
+		"snapshot-kb":    {1, 1 << 20, func() float64 { return float64(s.SnapshotLeast) / 1024 }, func(v float64) { s.SnapshotLeast = int64(v * 1024) }},
+		"snapshot-share": numberField(0, 100, &s.SnapshotShare),
 		"retry-after":    durationField(10*time.Millisecond, time.Minute, &s.RetryAfter),
 	})
 	if err != nil {
--- a/internal/controller/history/history.go
+++ b/internal/controller/history/history.go
@@ -171,6 +171,9 @@
 	return k, nil
 }
 
+// Tune takes other values for how many jobs are worth a run, and how many runs are merged.
+func (k *Keeper) Tune(least, fan int) { k.opt.Least, k.opt.Fan = least, fan }
+
 // Jobs counts the jobs of all runs.
 func (k *Keeper) Jobs() int {
 	n := 0
--- a/internal/controller/node/explain.go
+++ b/internal/controller/node/explain.go
@@ -17,7 +17,7 @@
 // settle is how long it takes from free room to a running task, besides its image: two reports,
 // and the stop of what had the room.
 func (n *Node) settle(j *jobs.Job) time.Duration {
-	return 2*n.cfg.ReportEvery + j.Save + n.opt.Term
+	return 2*n.cfg.ReportEvery + j.Save + n.lead.options.Term
 }
 
 // ahead is what is known of the work that can stand before a job.
--- a/internal/controller/node/index_test.go
+++ b/internal/controller/node/index_test.go
@@ -26,7 +26,7 @@
 		Teams: []config.Team{{Name: "t", CPUs: 500, CPULimit: 1e6}}}
 	n := New(cfg, config.DefaultOptions(), now, rand.New(rand.NewPCG(1, 1)), log)
 	n.lead = &leadership{token: 1, since: now, jobs: map[string]*jobs.Job{}, finals: map[string]final{},
-		planner: plan.New(n.opt, cfg), firsts: map[*jobs.Job]bool{}, gate: n.newGate(), booked: map[*jobs.Attempt]*workers.Machine{},
+		planner: plan.New(n.opt, cfg), firsts: map[*jobs.Job]bool{}, gate: n.newGate(), options: n.opt, booked: map[*jobs.Attempt]*workers.Machine{},
 		ledger: ledger.New(ledger.Options{ValueBytes: 8192, TxnOps: 12, WriteRate: 15}, 1, log),
 		cloud:  fleet.New(1, 2, time.Second, log), fleet: workers.NewFleet(n.leaseEnd(), log), built: true, placing: true, stale: true, first: true}
 	if !n.readHistory() {
--- a/internal/controller/node/node.go
+++ b/internal/controller/node/node.go
@@ -84,6 +84,9 @@
 	jobs     map[string]*jobs.Job
 	finals   map[string]final // finished jobs that are in the live pages
 	history  *history.Keeper  // all others
+	options  config.Options   // those that count: the file's, or the ledger's
+	settings *settingsEntry   // those that were applied while the controllers ran
+	applying bool             // others are being saved
 	damaged  bool             // the history cannot be read: nobody is answered
 	fleet    *workers.Fleet
 	cloud    *fleet.Cloud
@@ -255,6 +258,10 @@
 		n.only(r, "POST", func() { n.user(now, r, func(now time.Time, r *Request) { n.withdraw(now, r, parts[1]) }) })
 	case parts[0] == "work" && len(parts) == 3 && parts[2] == "explain":
 		n.only(r, "GET", func() { n.user(now, r, func(now time.Time, r *Request) { n.explain(now, r, parts[1]) }) })
+	case path == "/settings" && r.Method == "GET":
+		n.user(now, r, n.showSettings)
+	case path == "/settings":
+		n.only(r, "POST", func() { n.user(now, r, n.applySettings) })
 	case path == "/queue":
 		n.only(r, "GET", func() { n.user(now, r, n.queue) })
 	case path == "/peer/hello" && r.Peer:
--- a/internal/controller/node/past.go
+++ b/internal/controller/node/past.go
@@ -19,10 +19,10 @@
 	l := n.lead
 	keeper, err := history.New(l.ledger, history.Options{
 		ValueBytes: n.cfg.ValueBytes, TxnOps: n.cfg.TxnOps, WriteRate: n.cfg.StateWrites * pastShare, ReadRate: n.cfg.StateRate * pastShare,
-		Least: n.opt.SealJobs, Fan: n.opt.MergeRuns,
+		Least: l.options.SealJobs, Fan: n.opt.MergeRuns,
 		Ready: func(now time.Time, id string) bool {
 			f, ok := l.finals[id]
-			return ok && now.Sub(f.since) >= n.opt.SealAfter
+			return ok && now.Sub(f.since) >= l.options.SealAfter
 		},
 		Final: func(id string) (history.Final, bool) {
 			f, ok := l.finals[id]
--- a/internal/controller/node/past_test.go
+++ b/internal/controller/node/past_test.go
@@ -97,7 +97,7 @@
 	for _, c := range n.box.Take() {
 		c.Done(now, s.exchange(t, c))
 	}
-	n.opt.SealAfter, n.opt.SealJobs = time.Second, 2
+	n.lead.options.SealAfter, n.lead.options.SealJobs = time.Second, 2
 	n.readHistory()
 	ids := []string{"job-000001", "job-000002", "job-20261201121026", "job-20261201121027"}
 	for i, id := range ids {
--- a/internal/controller/node/sizing.go
+++ b/internal/controller/node/sizing.go
@@ -233,7 +233,7 @@
 // worth is how long, in seconds, the work at hand must last for a kind to be rented: the
 // dearer it is, the longer.
 func (n *Node) worth(price, cheapest float64) float64 {
-	return n.opt.Backlog.Seconds() * price / cheapest / 3
+	return n.lead.options.Backlog.Seconds() * price / cheapest / 3
 }
 
 // minCharge is what the cloud charges at least for a machine that is deleted.
@@ -303,7 +303,7 @@
 		case m.Draining.Leaving() && len(m.Attempts) == 0:
 			reason = string(m.Draining)
 		case m.Draining != workers.InUse || len(m.Attempts) > 0 || n.paidFor(now, id) > 0:
-		case waiting == 0 && now.Sub(m.IdleSince) > n.opt.IdleAfter, now.Sub(m.IdleSince) > 3*n.opt.IdleAfter:
+		case waiting == 0 && now.Sub(m.IdleSince) > n.lead.options.IdleAfter, now.Sub(m.IdleSince) > 3*n.lead.options.IdleAfter:
 			reason = "idle"
 		}
 		if reason == "" {
--- a/internal/controller/node/takeover.go
+++ b/internal/controller/node/takeover.go
@@ -29,7 +29,7 @@
 func (n *Node) takeOver(now time.Time) {
 	token := n.election.Token()
 	l := &leadership{token: token, since: now, jobs: map[string]*jobs.Job{}, finals: map[string]final{},
-		planner: plan.New(n.opt, n.cfg), firsts: map[*jobs.Job]bool{}, gate: n.newGate(), booked: map[*jobs.Attempt]*workers.Machine{}}
+		planner: plan.New(n.opt, n.cfg), firsts: map[*jobs.Job]bool{}, gate: n.newGate(), options: n.opt, booked: map[*jobs.Attempt]*workers.Machine{}}
 	l.ledger = ledger.New(ledger.Options{LeaderKey: leader.Key, ValueBytes: n.cfg.ValueBytes, TxnOps: n.cfg.TxnOps,
 		WriteRate: n.cfg.StateWrites, Quiet: 500 * time.Millisecond}, token, n.log)
 	l.cloud = fleet.New(token, n.cfg.CloudRate, n.cfg.ListLag, n.log)
@@ -63,6 +63,10 @@
 			}
 			return
 		}
+		if name == settingsName {
+			n.restoreSettings(decode)
+			return
+		}
 		if id, c, ok := jobs.ChunkOf(name); ok {
 			var v jobs.Chunk
 			if err := decode(&v); err != nil {
--- a/internal/controller/node/thin.go
+++ b/internal/controller/node/thin.go
@@ -60,7 +60,7 @@
 		}
 		switch {
 		case len(m.Attempts) == 0:
-			if now.Sub(m.IdleSince) > n.opt.IdleAfter/2 {
+			if now.Sub(m.IdleSince) > n.lead.options.IdleAfter/2 {
 				slack -= m.CPUs
 				m.Draining = workers.Thin
 			}
--- a/internal/controller/plan/plan.go
+++ b/internal/controller/plan/plan.go
@@ -61,6 +61,9 @@
 	return pl
 }
 
+// Tune takes other options; what was learnt stays.
+func (p *Planner) Tune(opt config.Options) { p.opt = opt }
+
 // Learn takes in how long a task of the job has run.
 func (p *Planner) Learn(j *jobs.Job, ran time.Duration) {
 	j.RanSum += ran
