--- a/internal/controller/node/explain.go
+++ b/internal/controller/node/explain.go
@@ -44,22 +44,29 @@
 			a.CPUs += t.CPUs
 		}
 	}
-	fetch := 0.0
+	fetch, least, boot := 0.0, 0.0, time.Duration(0)
 	for _, t := range l.cloud.Types {
-		boot := t.Boot()
-		if t.FetchRate > 0 && place.TypeFits(j, t) {
+		if !place.TypeFits(j, t) {
+			continue
+		}
+		if t.FetchRate > 0 {
 			fetch = max(fetch, j.ImageGB/t.FetchRate)
 		}
 		for _, z := range t.Zones {
 			for _, spot := range []bool{false, true} {
-				if k := kindOf(t, z, spot); a.CPUs == 0 && l.cloud.Askable(now, k) && place.KindAllowed(j, k) && place.TypeFits(j, t) {
-					// Nothing is there yet: the least that is about to be rented for it.
-					a.CPUs = float64(growth) * t.CPUs
-					a.Settle += boot
+				if k := kindOf(t, z, spot); l.cloud.Askable(now, k) && place.KindAllowed(j, k) {
+					if cpus := float64(growth) * t.CPUs; least == 0 || cpus < least {
+						least = cpus
+					}
+					boot = max(boot, t.Boot())
 				}
 			}
 		}
 	}
+	if a.CPUs == 0 { // nothing is there yet: the least that is about to be rented for it
+		a.CPUs = least
+		a.Settle += boot
+	}
 	// Once for its own image, and once while machines that have it are looked for.
 	a.Settle += time.Duration(2 * fetch * float64(time.Second))
 	return a
--- /dev/null
+++ b/internal/standin/night_test.go
@@ -0,0 +1,142 @@
+package standin
+
+import (
+	"flag"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"gullrudder/internal/config"
+	"gullrudder/internal/controller/jobs"
+)
+
+// night is how long the night of TestNight is; it is not played unless a length is given:
+// go test ./internal/standin -run Night -night 12h -seeds 4 -timeout 1h -v
+var (
+	night  = flag.Duration("night", 0, "length of the night that TestNight plays; 0: none")
+	seeds  = flag.Int("seeds", 2, "how many nights")
+	calm   = flag.Bool("calm", false, "no machine, leader or state service fails")
+	kept   = flag.Float64("aged-share", 0.1, "share of the fleet that is kept for the aged")
+	perDay = flag.Int("tasks", 200_000, "tasks a day")
+)
+
+type class struct {
+	name, team string
+	share      float64 // of the tasks
+	cpus       float64
+	tasks      int
+	run        time.Duration // median
+	priority   jobs.Priority
+	deadline   float64 // times the run time; 0: none
+}
+
+// arrivals fills a night: waves of tender work, ledger runs that come in the evening, heavy tails,
+// estimates that are wrong by up to the error that bounds allow for.
+func arrivals(w *World, rng *rand.Rand, length time.Duration, tasks int) {
+	classes := []class{
+		{"tender", "red", 0.5, 2, 24, 110 * time.Second, jobs.Production, 6},
+		{"intake", "blue", 0.3, 4, 16, 130 * time.Second, jobs.High, 8},
+		{"archive", "blue", 0.12, 4, 40, 300 * time.Second, jobs.Normal, 0},
+		{"ledger", "red", 0.08, 4, 20, 600 * time.Second, jobs.Low, 0},
+	}
+	n := 0
+	for _, c := range classes {
+		count := int(float64(tasks) * c.share / float64(c.tasks))
+		for range count {
+			at := rng.Float64()
+			if c.deadline > 0 { // waves: three an hour's worth of quiet and of rush
+				for rng.Float64() > 0.15+0.85*math.Pow(math.Sin(3*math.Pi*at), 2) {
+					at = rng.Float64()
+				}
+			} else {
+				at *= 0.5 // queued since evening
+			}
+			run := time.Duration(float64(c.run) * math.Exp(rng.NormFloat64()*0.7))
+			run = min(max(run, time.Second), 20*c.run)
+			estimate := time.Duration(float64(run) / (0.7 + 1.2*rng.Float64()))
+			s := jobs.Spec{ID: fmt.Sprintf("job-%07d", n), Class: c.name, Team: c.team, Priority: c.priority, Tasks: 1 + rng.IntN(2*c.tasks),
+				CPUs: c.cpus, Mem: 1, Image: c.name, ImageGB: 0.5, Spot: true, Estimate: estimate,
+				Deadline: time.Duration(c.deadline * float64(estimate))}
+			n++
+			w.At(time.Duration(at*float64(length)), func() { w.Users.Send(s, run) })
+		}
+	}
+}
+
+// A night of mixed work: nothing starts later than was stated when it was accepted. Jobs whose
+// work was lost with a machine, or that met a leader's end, have bounds that become longer; they
+// are counted apart.
+func TestNight(t *testing.T) {
+	if *night == 0 {
+		t.Skip("no length of the night is given")
+	}
+	for seed := range uint64(*seeds) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			opt := options()
+			opt.AskOnce, opt.Loss, opt.Capacity = true, 0, 42
+			opt.ReportEvery, opt.Lease = 8*time.Second, 40*time.Second
+			opt.Teams = []config.Team{{Name: "red", CPUs: 100, CPULimit: 1200}, {Name: "blue", CPUs: 100, CPULimit: 1200}}
+			opt.Tuning = config.DefaultOptions()
+			opt.Tuning.AgedShare = *kept
+			w := New(seed, opt, quiet())
+			rng := rand.New(rand.NewPCG(seed, 99))
+			arrivals(w, rng, *night, int(float64(*perDay)*night.Hours()/24))
+			if !*calm {
+				for at := 20 * time.Minute; at < *night; at += 40 * time.Minute {
+					w.At(at, func() { w.Crash(rng.IntN(3), 5*time.Second) })
+					w.At(at+7*time.Minute, w.Cloud.Die)
+					w.At(at+12*time.Minute, func() { w.State.Outage(10 * time.Second) })
+				}
+			}
+			stated := map[string]time.Duration{}
+			most := 0
+			for at := time.Minute; at < *night+time.Hour; at += time.Minute {
+				w.At(at, func() {
+					most = max(most, len(w.Cloud.running()))
+					for _, id := range w.Users.ids[max(len(w.Users.ids)-600, 0):] {
+						if rec, ok := w.State.record(id); ok && rec.StartBy > 0 {
+							stated[id] = time.Duration(rec.StartBy) * time.Second
+						}
+					}
+				})
+			}
+			w.Run(*night + time.Hour)
+			if len(w.Broken) > 0 {
+				t.Fatal(w.Broken)
+			}
+			byClass := map[string][]float64{}
+			worst := map[string]time.Duration{}
+			beyond, waited := 0, 0
+			for id, bound := range stated {
+				j := w.model.jobs[id]
+				if j.accepted.IsZero() || j.asked {
+					continue
+				}
+				wait := w.Now.Sub(j.accepted)
+				if !j.began.IsZero() {
+					wait = j.began.Sub(j.accepted)
+				}
+				worst[j.spec.Class] = max(worst[j.spec.Class], wait)
+				byClass[j.spec.Class] = append(byClass[j.spec.Class], wait.Seconds()/bound.Seconds())
+				if wait > time.Minute {
+					waited++
+				}
+				if wait > bound {
+					beyond++
+					t.Errorf("%s (%s) waits %v, stated was %v", id, j.spec.Class, wait, bound)
+				}
+			}
+			t.Logf("%d jobs, %d starts, %d unfinished, at most %d machines; %d with a stated bound, %d waited over a minute, %d beyond",
+				w.Users.Accepted(), w.model.Ran, w.Users.Unfinished(), most, len(stated), waited, beyond)
+			for name, list := range byClass {
+				slices.Sort(list)
+				t.Logf("%-8s %5d jobs, longest wait %v, of the bound at most %.3f, median %.4f", name, len(list),
+					worst[name].Round(time.Second), list[len(list)-1], list[len(list)/2])
+			}
+		})
+	}
+}
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -306,29 +306,36 @@
 	return nil
 }
 
-// results reads a job's record from the pages, as the next leader would.
-func (s *StateService) results(id string) (func(task int) bool, error) {
-	for _, k := range s.keys {
+// record finds a job's record in the pages, as the next leader would.
+func (s *StateService) record(id string) (rec jobs.Record, ok bool) {
+	for name, k := range s.keys {
+		if !strings.HasPrefix(name, ledger.Prefix) {
+			continue
+		}
 		var page struct {
 			Entries map[string]msgpack.RawMessage `msgpack:"e"`
 		}
-		if msgpack.Unmarshal(k.value, &page) != nil || page.Entries[id] == nil {
-			continue
-		}
-		var rec jobs.Record
-		if err := msgpack.Unmarshal(page.Entries[id], &rec); err != nil {
-			return nil, fmt.Errorf("job %s: %w", id, err)
+		if msgpack.Unmarshal(k.value, &page) == nil && page.Entries[id] != nil {
+			return rec, msgpack.Unmarshal(page.Entries[id], &rec) == nil
 		}
-		j, err := jobs.FromRecord(id, rec)
-		if err != nil {
-			return nil, err
+	}
+	return rec, false
+}
+
+// results reads a job's record from the pages, as the next leader would.
+func (s *StateService) results(id string) (func(task int) bool, error) {
+	rec, ok := s.record(id)
+	if !ok {
+		if s.sealed(id) {
+			return func(int) bool { return true }, nil
 		}
-		return j.IsDurable, nil
+		return nil, fmt.Errorf("job %s is in no page and not sealed", id)
 	}
-	if s.sealed(id) {
-		return func(int) bool { return true }, nil
+	j, err := jobs.FromRecord(id, rec)
+	if err != nil {
+		return nil, err
 	}
-	return nil, fmt.Errorf("job %s is in no page and not sealed", id)
+	return j.IsDurable, nil
 }
 
 // sealed reads the history as the next leader would.
--- a/internal/standin/users.go
+++ b/internal/standin/users.go
@@ -158,6 +158,9 @@
 		}
 		again := 3 * time.Second
 		if state == "done" || state == "cancelled" {
+			if u.w.Opt.AskOnce {
+				return
+			}
 			again = 25 * time.Second
 		}
 		u.w.At(again, func() { u.poll(id) })
