--- a/internal/site/store/service.go
+++ b/internal/site/store/service.go
@@ -75,7 +75,7 @@
 		kept: make(chan kept, 1), work: make(chan keepJob, 1), snapped: make(chan snapped, 1), answers: make(chan []Effects, answerSteps)}
 }
 
-// Serve runs the service at an address until the listener fails.
+// Serve runs the service at an address; it returns only if that cannot be had.
 func (s *Service) Serve(listen string) error {
 	go s.keep()
 	go s.own()
@@ -86,10 +86,16 @@
 	}()
 	server := httpwire.NewServer(httpwire.ServerOptions{Public: listen, MaxConns: s.opt.Connections, Idle: 75 * time.Second,
 		Slow: 10 * time.Second, Handle: s.handle})
-	if err := server.Run(); err != nil {
-		return fmt.Errorf("serve %s: %w", listen, err)
+	for {
+		began := time.Now()
+		err := server.Run()
+		if time.Since(began) < time.Second {
+			return fmt.Errorf("serve %s: %w", listen, err) // the address cannot be had
+		}
+		// evio ends its loop when accept fails, as it does where sockets run out.
+		s.log.Error("the server stopped and is started again", "error", err)
+		time.Sleep(500 * time.Millisecond)
 	}
-	return nil
 }
 
 func (s *Service) handle(r *httpwire.Request) {
