--- a/internal/site/store/disk_test.go
+++ b/internal/site/store/disk_test.go
@@ -178,3 +178,33 @@
 		t.Error("a backup that is not whole is restored")
 	}
 }
+
+// A watch goes on over a restart if the log still has what came after its revision; what a
+// snapshot covers is not kept as changes, and its watcher is told to read the keys again.
+func TestWatchAcrossACompaction(t *testing.T) {
+	s, d, files := emptyStore(t, config.DefaultStore(), time.Unix(100, 0))
+	for i := range 4 {
+		keep(t, s, d, fmt.Sprintf("a/%d", i), "v")
+	}
+	snapshot(t, s, d)
+	keep(t, s, d, "a/4", "v")
+	keep(t, s, d, "a/5", "v")
+	again, _, _, err := store.Open(files.After(lossy.Kept), config.DefaultStore(), time.Unix(200, 0), slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for from, want := range map[int]int{3: 410, 4: 200, 5: 200} {
+		r := one(t, again, time.Unix(200, 0), get(fmt.Sprintf("/watch?starts=a/&from=%d", from)))
+		if r.Status != want {
+			t.Errorf("from %d: %d, want %d", from, r.Status, want)
+			continue
+		}
+		var w watched
+		if want != 200 {
+			continue
+		}
+		if decode(t, r, &w); len(w.Log) != 6-from || w.Revision != 6 {
+			t.Errorf("from %d: %+v", from, w)
+		}
+	}
+}
