--- a/internal/controller/node/placing.go
+++ b/internal/controller/node/placing.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"math"
 	"slices"
+	"strings"
 	"time"
 
 	"gullrudder/internal/controller/fleet"
@@ -105,6 +106,7 @@
 	}
 	l.held = l.held[:0]
 	var free []*workers.Machine // not held for a job, the most room first
+	rooms := newRoomFor()
 	for _, e := range l.order {
 		j := e.Job
 		if !e.Hold || j.Waiting() == 0 || now.Before(j.NotBefore) {
@@ -120,16 +122,12 @@
 		if j.Gang {
 			want -= n.holdWhole(j, free, want)
 		}
-		for _, m := range free {
-			if want <= 0 || j.CPUs > 0 && m.CPUs-m.UsedCPU < j.CPUs-1e-6 {
-				break // sorted: the rest has less
-			}
-			if place.Usable(j, m) {
-				want -= m.Fits(j)
-			}
-		}
 		if want > 0 {
+			want -= rooms.fit(j, free, want)
+		}
+		if want > 0 && !rooms.barren(j) {
 			left := free[:0]
+			before := want
 			for _, m := range free {
 				if want > 0 && m.HeldFor == nil && place.Usable(j, m) && m.Fits(j) == 0 && m.CPUs >= j.CPUs && m.Mem >= j.Mem {
 					n.holdFor(m, j)
@@ -139,6 +137,7 @@
 					left = append(left, m)
 				}
 			}
+			rooms.held(j, before-want, len(free)-len(left))
 			if free = left; len(free) == 0 {
 				return
 			}
@@ -146,6 +145,70 @@
 	}
 }
 
+// shape is all of a job that decides where its tasks fit, as long as none of them has failed.
+type shape struct {
+	cpus, cards, mem float64
+	zone, types      string
+	spot             bool
+}
+
+// roomFor is how many tasks of a shape fit on the machines that are free. Most jobs of a queue
+// have one of a few shapes: without it each of them walks the machines anew.
+type roomFor struct {
+	fits    map[shape]int
+	nothing map[shape]bool // no machine is left that could be held for these
+}
+
+func newRoomFor() roomFor { return roomFor{map[shape]int{}, map[shape]bool{}} }
+
+func shapeOf(j *jobs.Job) shape {
+	return shape{j.CPUs, j.Cards, j.Mem, j.Zone, strings.Join(j.Types, " "), j.Spot}
+}
+
+// barren reports that holding was tried for a job of the same shape and no machine was found.
+// The machines that are free only become fewer, so none is found for this one either.
+func (r roomFor) barren(j *jobs.Job) bool { return j.Errors == 0 && r.nothing[shapeOf(j)] }
+
+// held is told how many machines were held for a job, and how many are not free any more.
+func (r roomFor) held(j *jobs.Job, machines, gone int) {
+	if gone > 0 {
+		clear(r.fits)
+	}
+	if machines == 0 && j.Errors == 0 {
+		r.nothing[shapeOf(j)] = true
+	}
+}
+
+// fit is how many tasks of the job fit on the free machines, which are sorted by what is free;
+// more than it wants are not counted.
+func (r roomFor) fit(j *jobs.Job, free []*workers.Machine, want int) int {
+	if j.Errors > 0 {
+		return fitting(j, free, want) // some machines may be left out for this job alone
+	}
+	key := shapeOf(j)
+	total, known := r.fits[key]
+	if !known {
+		probe := *j
+		probe.Tasks = jobs.MaxTasks
+		total = fitting(&probe, free, math.MaxInt)
+		r.fits[key] = total
+	}
+	return min(total, want)
+}
+
+func fitting(j *jobs.Job, free []*workers.Machine, want int) int {
+	room := 0
+	for _, m := range free {
+		if room >= want || j.CPUs > 0 && m.CPUs-m.UsedCPU < j.CPUs-1e-6 {
+			break // sorted: the rest has less
+		}
+		if place.Usable(j, m) {
+			room += m.Fits(j)
+		}
+	}
+	return min(room, want)
+}
+
 // byRoom lists the machines that are up, those with the most free CPUs first.
 func (n *Node) byRoom() []*workers.Machine {
 	list := n.lead.fleet.Up()
