--- a/internal/controller/node/past.go
+++ b/internal/controller/node/past.go
@@ -74,7 +74,7 @@
 			if err != nil {
 				n.log.Info("an old job cannot be looked up", "job", id, "error", err)
 			}
-			n.refuse(r, 503, "the job is finished; ask again for its counts", notNow)
+			n.refuse(r, 503, "finished jobs cannot be looked up now", notNow)
 		}
 	})
 	return true
