One look-back for jobs that are missing, one row of the queue, no second sync at an opening

The last read of the change: query, withdraw and explain asked the history with the same lines, explain made a row of the queue by hand, a torn end was synced twice, a field and a method had no use.

--- a/internal/controller/history/history.go
+++ b/internal/controller/history/history.go
@@ -96,7 +96,6 @@
 	sources []*Run   // runs that are merged
 	data    [][]string
 	merge   *merge
-	from    string // the last part that was read
 	run     *Run
 	puts    []ledger.Part
 	tried   int // how many of them went out together in a try that failed
--- a/internal/controller/node/explain.go
+++ b/internal/controller/node/explain.go
@@ -9,7 +9,6 @@
 
 	"gullrudder/internal/controller/jobs"
 	"gullrudder/internal/controller/place"
-	"gullrudder/internal/controller/plan"
 	"gullrudder/internal/controller/standing"
 	"gullrudder/internal/controller/workers"
 )
@@ -134,9 +133,8 @@
 	mostReasons = 8
 )
 
-func (n *Node) waiting(now time.Time, e *plan.Entry) Waiting {
-	j := e.Job
-	return Waiting{ID: j.ID, Team: j.Team, Class: j.Class, Standing: e.Standing(), Waiting: j.Waiting(), Running: j.RunningTasks(), Done: j.NDone,
+func waiting(now time.Time, j *jobs.Job, standing string) Waiting {
+	return Waiting{ID: j.ID, Team: j.Team, Class: j.Class, Standing: standing, Waiting: j.Waiting(), Running: j.RunningTasks(), Done: j.NDone,
 		Age: now.Sub(j.Submitted).Round(time.Second).Seconds(), StartBy: j.StartBy.Seconds(), EndBy: j.EndBy.Seconds(), Late: j.Late}
 }
 
@@ -166,7 +164,7 @@
 		}
 		a.Total++
 		if len(a.Jobs) < most {
-			a.Jobs = append(a.Jobs, n.waiting(now, e))
+			a.Jobs = append(a.Jobs, waiting(now, e.Job, e.Standing()))
 		}
 	}
 	n.reply(r, 200, a, 0)
@@ -181,16 +179,12 @@
 	}
 	j := l.jobs[id]
 	if j == nil {
-		unknown := func(now time.Time) { n.refuse(r, 404, "no such job", 0) }
-		if !n.past(now, r, id, false, unknown) {
-			unknown(now)
-		}
+		n.missing(now, r, id, false, n.explain)
 		return
 	}
 	n.rank(now)
 	x := Explanation{State: j.Wire(), Before: []Waiting{}, Because: []string{}, Changes: []string{}}
-	x.Waiting = Waiting{ID: id, Team: j.Team, Class: j.Class, Waiting: j.Waiting(), Running: j.RunningTasks(), Done: j.NDone,
-		Age: now.Sub(j.Submitted).Round(time.Second).Seconds(), StartBy: j.StartBy.Seconds(), EndBy: j.EndBy.Seconds(), Late: j.Late}
+	x.Waiting = waiting(now, j, "")
 	found := false
 	for i := range l.order {
 		e := &l.order[i]
@@ -204,7 +198,7 @@
 		x.Position++
 		x.Ahead += e.Work
 		if len(x.Before) < mostBefore {
-			x.Before = append(x.Before, n.waiting(now, e))
+			x.Before = append(x.Before, waiting(now, e.Job, e.Standing()))
 		}
 	}
 	if x.Position++; !found {
--- a/internal/controller/node/users.go
+++ b/internal/controller/node/users.go
@@ -226,10 +226,7 @@
 	}
 	j := l.jobs[id]
 	if j == nil {
-		unknown := func(now time.Time) { n.absent(now, r, id, n.query) }
-		if !n.past(now, r, id, true, unknown) {
-			n.refuse(r, 404, "no such job", 0)
-		}
+		n.missing(now, r, id, true, n.query)
 		return
 	}
 	if j.State == jobs.Pending {
@@ -240,15 +237,20 @@
 	n.reply(r, 200, jobAnswer{ID: id, State: j.Wire(), Label: label(j.Guaranteed), Done: &j.NDone, Running: &running}, 0)
 }
 
-// absent answers for a job that the history does not hold, unless it was submitted while the
-// history was asked.
-func (n *Node) absent(now time.Time, r *Request, id string, serve func(time.Time, *Request, string)) {
+// missing answers for a job that is neither live nor final in the pages: from the history, or
+// 404. If it was submitted while the history was asked, it is served as usual.
+func (n *Node) missing(now time.Time, r *Request, id string, counts bool, serve func(time.Time, *Request, string)) {
 	l := n.lead
-	if _, over := l.finals[id]; over || l.jobs[id] != nil {
-		serve(now, r, id)
-		return
+	absent := func(now time.Time) {
+		if _, over := l.finals[id]; over || l.jobs[id] != nil {
+			serve(now, r, id)
+			return
+		}
+		n.refuse(r, 404, "no such job", 0)
+	}
+	if !n.past(now, r, id, counts, absent) {
+		absent(now)
 	}
-	n.refuse(r, 404, "no such job", 0)
 }
 
 func (n *Node) withdraw(now time.Time, r *Request, id string) {
@@ -260,10 +262,7 @@
 	j := l.jobs[id]
 	switch {
 	case j == nil:
-		unknown := func(now time.Time) { n.absent(now, r, id, n.withdraw) }
-		if !n.past(now, r, id, false, unknown) {
-			n.refuse(r, 404, "no such job", 0)
-		}
+		n.missing(now, r, id, false, n.withdraw)
 		return
 	case j.State == jobs.Pending:
 		n.refuse(r, 503, "not saved yet", comeBack)
--- a/internal/site/store/recover.go
+++ b/internal/site/store/recover.go
@@ -252,9 +252,7 @@
 	l := &Log{files: files, file: file, segment: f.tail.segment, next: f.next, offset: f.offset}
 	if f.report.Torn > 0 {
 		// What is behind the end was never answered, and is not to be looked at again.
-		if err = file.Truncate(f.offset); err == nil {
-			err = file.Sync()
-		}
+		err = file.Truncate(f.offset)
 	}
 	if err == nil {
 		// What a process that has ended wrote may be in memory only; it is answered from
--- a/internal/site/store/state.go
+++ b/internal/site/store/state.go
@@ -101,9 +101,6 @@
 // Revision is that of the last change.
 func (s *State) Revision() uint64 { return s.revision }
 
-// Waiting counts the open watches.
-func (s *State) Waiting() int { return len(s.watches) }
-
 // Step works through a batch of requests.
 func (s *State) Step(now time.Time, batch []Request) Effects {
 	s.e, s.now = Effects{}, now
