--- /dev/null
+++ b/cmd/gullbench/main.go
@@ -0,0 +1,19 @@
+// Command gullbench is home of long measurements, experiments and random faults. It starts only
+// processes of this project, on loopback, and ends only those.
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/spf13/cobra"
+)
+
+func main() {
+	root := &cobra.Command{Use: "gullbench", Short: "Long measurements and random faults", SilenceUsage: true, SilenceErrors: true}
+	root.AddCommand(crashCommand(), commitsCommand(), restartCommand(), weighCommand())
+	if err := root.Execute(); err != nil {
+		fmt.Fprintln(os.Stderr, "gullbench:", err)
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/cmd/gullbench/process.go
@@ -0,0 +1,110 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"gullrudder/internal/wire/httpwire"
+)
+
+// process is a child of this program that is started, killed and started again.
+type process struct {
+	name string
+	path string
+	args []string
+	env  []string
+	logs io.Writer
+	seen func(p *process, line string)
+
+	mu  sync.Mutex
+	cmd *exec.Cmd
+}
+
+func (p *process) start() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	cmd := exec.Command(p.path, p.args...)
+	cmd.Env = append(os.Environ(), p.env...)
+	errs, err := cmd.StderrPipe()
+	if err != nil {
+		return err
+	}
+	if err := cmd.Start(); err != nil {
+		return fmt.Errorf("start %s: %w", p.name, err)
+	}
+	p.cmd = cmd
+	go func() {
+		lines := bufio.NewScanner(errs)
+		lines.Buffer(nil, 1<<20)
+		for lines.Scan() {
+			if p.logs != nil {
+				fmt.Fprintf(p.logs, "%s %s\n", p.name, lines.Text())
+			}
+			if p.seen != nil {
+				p.seen(p, lines.Text())
+			}
+		}
+	}()
+	return nil
+}
+
+// kill ends the child at once and waits until it is gone.
+func (p *process) kill() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd == nil {
+		return
+	}
+	// A child that has ended by itself is as gone as one that is killed.
+	_ = p.cmd.Process.Kill()
+	_ = p.cmd.Wait()
+	p.cmd = nil
+}
+
+// freePorts are ports of loopback that nobody listens at.
+func freePorts(n int) ([]string, error) {
+	var addrs []string
+	for range n {
+		l, err := net.Listen("tcp4", "127.0.0.1:0")
+		if err != nil {
+			return nil, err
+		}
+		defer l.Close()
+		addrs = append(addrs, l.Addr().String())
+	}
+	return addrs, nil
+}
+
+// await asks until the service answers with the status.
+func await(c *httpwire.Client, addr, target string, status int, within time.Duration) error {
+	end := time.Now().Add(within)
+	for {
+		m, err := c.Do(addr, "GET", target, nil, time.Second)
+		if err == nil && m.Status == status {
+			return nil
+		}
+		if time.Now().After(end) {
+			return fmt.Errorf("%s%s does not answer %d within %v: %w", addr, target, status, within, err)
+		}
+		time.Sleep(2 * time.Millisecond)
+	}
+}
+
+// program finds or builds the program that is measured.
+func program(path, dir string) (string, error) {
+	if path != "" {
+		return filepath.Abs(path)
+	}
+	out := filepath.Join(dir, "gullrudder")
+	if msg, err := exec.Command("go", "build", "-o", out, "gullrudder/cmd/gullrudder").CombinedOutput(); err != nil {
+		return "", fmt.Errorf("build gullrudder: %w: %s", err, msg)
+	}
+	return out, nil
+}
--- /dev/null
+++ b/cmd/gullbench/users.go
@@ -0,0 +1,213 @@
+package main
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"gullrudder/internal/controller/jobs"
+	"gullrudder/internal/standin"
+	"gullrudder/internal/wire/httpwire"
+	"gullrudder/internal/wire/packed"
+)
+
+// users submit jobs with many short tasks, withdraw some, and ask about all of them for ever.
+type users struct {
+	f   *field
+	rng *rand.Rand
+
+	stop  chan struct{}
+	ended chan struct{}
+
+	mu    sync.Mutex
+	jobs  map[string]*userJob
+	order []string
+}
+
+type userJob struct {
+	spec      jobs.Spec
+	accepted  bool
+	done      bool
+	cancelled bool
+	asked     bool // to be cancelled
+}
+
+const mostOpen = 24
+
+func (u *users) run() {
+	defer close(u.ended)
+	client := httpwire.NewClient(8, 2, httpwire.MaxBody)
+	for n := 0; ; n++ {
+		select {
+		case <-u.stop:
+			return
+		default:
+		}
+		if u.open() < mostOpen {
+			u.submit(client, n)
+		}
+		for range 6 {
+			u.ask(client)
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+func (u *users) pick(of func(*userJob) bool) *userJob {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if len(u.order) == 0 {
+		return nil
+	}
+	from := u.rng.IntN(len(u.order))
+	for i := range u.order {
+		if j := u.jobs[u.order[(from+i)%len(u.order)]]; of(j) {
+			return j
+		}
+	}
+	return nil
+}
+
+func (u *users) count(of func(*userJob) bool) int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	n := 0
+	for _, j := range u.jobs {
+		if of(j) {
+			n++
+		}
+	}
+	return n
+}
+
+func (u *users) open() int {
+	return u.count(func(j *userJob) bool { return !j.done && !j.cancelled })
+}
+func (u *users) accepted() int { return u.count(func(j *userJob) bool { return j.accepted }) }
+func (u *users) finished() int { return u.count(func(j *userJob) bool { return j.done }) }
+
+func (u *users) submit(c *httpwire.Client, n int) {
+	// Some ids are longer than the history's index knows exactly.
+	id := fmt.Sprintf("job-%06d", n)
+	if u.rng.IntN(3) == 0 {
+		id = fmt.Sprintf("job-2026%010d", n)
+	}
+	j := &userJob{spec: jobs.Spec{ID: id, Class: "short", Team: "red", Priority: jobs.Normal, Tasks: 1 + u.rng.IntN(12), CPUs: 0.5, Mem: 1,
+		Image: "i", ImageGB: 0.1, Spot: true, Estimate: 200 * time.Millisecond}}
+	u.mu.Lock()
+	u.jobs[id] = j
+	u.order = append(u.order, id)
+	u.mu.Unlock()
+	u.send(c, j)
+}
+
+func (u *users) send(c *httpwire.Client, j *userJob) {
+	raw, err := packed.Marshal(standin.Wire(j.spec))
+	if err != nil {
+		u.f.broke("a submission cannot be encoded: %v", err)
+		return
+	}
+	u.do(c, j, "POST", "/work", raw)
+}
+
+// ask polls a job, submits one again, or withdraws one.
+func (u *users) ask(c *httpwire.Client) {
+	if j := u.pick(func(j *userJob) bool { return !j.accepted }); j != nil {
+		u.send(c, j)
+	}
+	switch u.rng.IntN(12) {
+	case 0:
+		if j := u.pick(func(j *userJob) bool { return j.accepted }); j != nil {
+			u.send(c, j)
+		}
+	case 1:
+		if j := u.pick(func(j *userJob) bool { return j.accepted && !j.done && u.rng.IntN(10) == 0 }); j != nil {
+			j.asked = true
+			u.do(c, j, "POST", "/work/"+j.spec.ID+"/withdraw", nil)
+		}
+	case 2, 3, 4: // an old one
+		if j := u.pick(func(j *userJob) bool { return j.done || j.cancelled }); j != nil {
+			u.do(c, j, "GET", "/work/"+j.spec.ID, nil)
+		}
+	default:
+		if j := u.pick(func(j *userJob) bool { return j.accepted && !j.done && !j.cancelled }); j != nil {
+			u.do(c, j, "GET", "/work/"+j.spec.ID, nil)
+		}
+	}
+}
+
+func (u *users) do(c *httpwire.Client, j *userJob, method, target string, body []byte) {
+	m, err := c.Do(u.f.public[u.rng.IntN(nodes)], method, target, body, 2*time.Second)
+	if err != nil {
+		return
+	}
+	var a struct {
+		State string `msgpack:"trim"`
+		Done  *int   `msgpack:"done"`
+	}
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	switch {
+	case m.Status == 404 || m.Status == 400 || m.Status == 422:
+		if j.accepted {
+			u.f.broke("forgotten: %s %s gets %d though the job was accepted", method, target, m.Status)
+		}
+	case m.Status/100 == 2 && packed.Unmarshal(m.Body, &a) == nil:
+		j.accepted = true
+		switch {
+		case a.State == "done" && !j.done:
+			j.done = true
+			if n := u.f.cloud.History.Done(j.spec.ID, j.spec.Tasks); n < j.spec.Tasks {
+				u.f.broke("not_done: %s is called done with %d of %d tasks", j.spec.ID, n, j.spec.Tasks)
+			}
+			if j.cancelled {
+				u.f.broke("went_back: %s was cancelled and is done", j.spec.ID)
+			}
+		case a.State == "cancelled":
+			if !j.asked || j.done {
+				u.f.broke("went_back: %s is cancelled; asked %v, done %v", j.spec.ID, j.asked, j.done)
+			}
+			j.cancelled = true
+		case a.State != "done" && (j.done || j.cancelled):
+			u.f.broke("went_back: %s is %s; done %v, cancelled %v", j.spec.ID, a.State, j.done, j.cancelled)
+		case a.State == "done" && a.Done != nil && method == "GET" && *a.Done != j.spec.Tasks:
+			u.f.broke("%s has %d tasks done of %d", j.spec.ID, *a.Done, j.spec.Tasks)
+		}
+	}
+}
+
+// drain waits until all that was accepted is done or cancelled, and then asks about every job
+// once more.
+func (u *users) drain(within time.Duration) error {
+	close(u.stop)
+	<-u.ended
+	client := httpwire.NewClient(8, 2, httpwire.MaxBody)
+	end := time.Now().Add(within)
+	u.mu.Lock()
+	last := len(u.order)
+	u.mu.Unlock()
+	for i := 0; i < last; {
+		if time.Now().After(end) {
+			return fmt.Errorf("%s is accepted and unfinished %v after the last kill", u.order[i], within)
+		}
+		u.mu.Lock()
+		j := u.jobs[u.order[i]]
+		over := j.done || j.cancelled
+		u.mu.Unlock()
+		if over {
+			i++
+			continue
+		}
+		if !j.accepted {
+			u.send(client, j)
+		} else {
+			u.do(client, j, "GET", "/work/"+j.spec.ID, nil)
+		}
+		time.Sleep(time.Millisecond)
+	}
+	for _, id := range u.order[:last] {
+		u.do(client, u.jobs[id], "GET", "/work/"+id, nil)
+	}
+	return nil
+}
--- a/internal/controller/ledger/ledger.go
+++ b/internal/controller/ledger/ledger.go
@@ -81,6 +81,7 @@
 	failing  time.Time // since when commits have been failing
 	delay    time.Duration
 	epoch    *int
+	want     *move             // what is to leave the pages with the next commit that has room
 	doubtful bool              // a move that nobody answered may be executed yet
 	head     *page             // names the runs of the history
 	index    map[string]string // parts of its index, until they are taken
@@ -321,7 +322,7 @@
 	for p := range l.dirty {
 		due = append(due, p)
 	}
-	if len(due) == 0 {
+	if len(due) == 0 && l.want == nil {
 		return
 	}
 	sort.Slice(due, func(i, j int) bool {
@@ -347,11 +348,15 @@
 		chosen = append(chosen, p)
 		bytes += p.size
 	}
-	if len(chosen) == 0 {
+	pages, m := l.join(now, chosen)
+	if len(pages) == 0 {
 		return
 	}
-	l.limit.Take(len(chosen))
-	l.commit(now, box, chosen, nil)
+	l.limit.Take(len(pages))
+	if m != nil && l.head.mark == 0 {
+		l.limit.Take(1) // the mark of the format
+	}
+	l.commit(now, box, pages, m)
 }
 
 func (l *Ledger) commit(now time.Time, box *outbox.Box, pages []*page, m *move) {
--- /dev/null
+++ b/internal/standin/live/history.go
@@ -0,0 +1,90 @@
+package live
+
+import (
+	"fmt"
+	"sync"
+
+	"gullrudder/internal/controller/jobs"
+)
+
+// History is the plain record of what became of every task. A task is over once its worker was
+// told to forget its result: from then on only the state service knows it.
+type History struct {
+	mu       sync.Mutex
+	where    map[jobs.Key]string
+	attempts map[uint64]string
+	done     map[jobs.Key]bool
+	over     map[jobs.Key]bool
+
+	Started    int
+	Duplicated int      // tasks that were started although they were over
+	Broken     []string // rules that were broken
+}
+
+func newHistory() *History {
+	return &History{where: map[jobs.Key]string{}, attempts: map[uint64]string{}, done: map[jobs.Key]bool{}, over: map[jobs.Key]bool{}}
+}
+
+func (h *History) broke(format string, args ...any) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.Broken = append(h.Broken, fmt.Sprintf(format, args...))
+}
+
+func (h *History) on(key jobs.Key, attempt uint64, machine string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.Started++
+	if other, ok := h.where[key]; ok {
+		h.Broken = append(h.Broken, fmt.Sprintf("ran_twice: %s starts on %s while on %s", key, machine, other))
+	}
+	if before, ok := h.attempts[attempt]; ok {
+		h.Broken = append(h.Broken, fmt.Sprintf("attempt %d of %s was used before: %s", attempt, key, before))
+	}
+	if h.over[key] {
+		h.Duplicated++
+		h.Broken = append(h.Broken, fmt.Sprintf("%s starts again after its result was durable", key))
+	}
+	h.attempts[attempt] = key.String()
+	h.where[key] = machine
+}
+
+func (h *History) off(key jobs.Key, machine string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.where[key] == machine {
+		delete(h.where, key)
+	}
+}
+
+func (h *History) finished(key jobs.Key) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.done[key] = true
+}
+
+func (h *History) forgotten(key jobs.Key) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.over[key] = true
+}
+
+// Done counts the tasks of a job that have completed at least once.
+func (h *History) Done(job string, tasks int) int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	n := 0
+	for i := range tasks {
+		if h.done[jobs.Key{Job: job, Task: i}] {
+			n++
+		}
+	}
+	return n
+}
+
+// Report is what was seen so far.
+func (h *History) Report() (started, duplicated int, broken []string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.Started, h.Duplicated, append([]string(nil), h.Broken...)
+}
--- /dev/null
+++ b/internal/standin/live/worker.go
@@ -0,0 +1,236 @@
+package live
+
+import (
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"gullrudder/internal/controller/jobs"
+	"gullrudder/internal/controller/workers"
+	"gullrudder/internal/wire/httpwire"
+	"gullrudder/internal/wire/packed"
+)
+
+func cutQuery(target string) (path, query string, ok bool) { return strings.Cut(target, "?") }
+
+// worker is one machine's.
+type worker struct {
+	cloud *Cloud
+	id    string
+	spot  bool
+	born  time.Time
+	front *front
+	wake  chan struct{}
+	ended chan struct{}
+
+	mu      sync.Mutex
+	rng     *rand.Rand
+	session uint64
+	seq     uint64
+	token   uint64
+	granted time.Time
+	tasks   map[string]*task
+	gone    bool
+}
+
+type task struct {
+	key     jobs.Key
+	attempt uint64
+	state   string
+	why     string
+}
+
+func newWorker(c *Cloud, id string, spot bool, rng *rand.Rand) (*worker, error) {
+	w := &worker{cloud: c, id: id, spot: spot, born: time.Now(), wake: make(chan struct{}, 1), ended: make(chan struct{}), rng: rng,
+		session: 1, granted: time.Now(), tasks: map[string]*task{}}
+	var err error
+	if w.front, err = serveFront(w.direct); err != nil {
+		return nil, err
+	}
+	go w.run()
+	return w, nil
+}
+
+// stop ends the machine for certain: when it returns, nothing of it runs.
+func (w *worker) stop() {
+	w.mu.Lock()
+	if !w.gone {
+		w.gone = true
+		close(w.ended)
+		w.clear()
+	}
+	w.mu.Unlock()
+	w.front.close()
+}
+
+func (w *worker) clear() {
+	for _, t := range w.tasks {
+		w.cloud.History.off(t.key, w.id)
+	}
+	w.tasks = map[string]*task{}
+}
+
+func (w *worker) checkLease() {
+	if time.Since(w.granted) > w.cloud.opt.Lease {
+		w.clear()
+		w.session++
+		w.seq = 0
+		w.granted = time.Now()
+	}
+}
+
+func (w *worker) report() workers.Report {
+	w.seq++
+	r := workers.Report{Machine: w.id, Addr: w.front.addr(), Type: w.cloud.flavor.Name, Zone: "a", Spot: w.spot, Session: w.session, Seq: w.seq,
+		Token: w.token, Tasks: []workers.TaskReport{}}
+	for _, t := range w.tasks {
+		r.Tasks = append(r.Tasks, workers.TaskReport{Task: t.key.String(), Attempt: t.attempt, State: t.state, Why: t.why})
+	}
+	return r
+}
+
+// run reports until the machine is gone: every so often, and when something has changed.
+func (w *worker) run() {
+	var names []string
+	for name := range w.cloud.opt.Controllers {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	client := httpwire.NewClient(1, 1, httpwire.MaxBody)
+	at := int(w.born.UnixNano()) % len(names)
+	for {
+		w.mu.Lock()
+		w.checkLease()
+		rep := w.report()
+		w.mu.Unlock()
+		raw, err := packed.Marshal(rep)
+		if err != nil {
+			w.cloud.History.broke("a report cannot be encoded: %v", err)
+			return
+		}
+		sent := time.Now()
+		msg, err := client.Do(w.cloud.opt.Controllers[names[at]], "POST", "/v1/report", raw, 4*time.Second)
+		pause := w.cloud.opt.Report
+		switch {
+		case err == nil && msg.Status == 200:
+			w.take(msg.Body, rep.Session, sent)
+		case err == nil && msg.Status == 421:
+			var e workers.Elsewhere
+			next := -1
+			if packed.Unmarshal(msg.Body, &e) == nil {
+				next = slices.Index(names, e.Leader)
+			}
+			if next < 0 || next == at {
+				next, pause = (at+1)%len(names), w.cloud.opt.Report/2
+			} else {
+				pause = 20 * time.Millisecond
+			}
+			at = next
+		default:
+			at = (at + 1) % len(names)
+			pause = w.cloud.opt.Report / 2
+		}
+		select {
+		case <-w.ended:
+			return
+		case <-time.After(pause):
+		case <-w.wake:
+			select {
+			case <-w.ended:
+				return
+			case <-time.After(min(pause, 50*time.Millisecond)):
+			}
+		}
+	}
+}
+
+func (w *worker) changed() {
+	select {
+	case w.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (w *worker) take(body []byte, session uint64, sent time.Time) {
+	var a workers.Answer
+	if packed.Unmarshal(body, &a) != nil {
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.checkLease()
+	if w.gone || a.Token < w.token || session != w.session {
+		return
+	}
+	if a.Token > w.token {
+		w.token = a.Token
+		w.changed()
+	}
+	w.granted = sent
+	w.execute(a.Commands)
+}
+
+func (w *worker) direct(m *httpwire.Message) (int, any) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.checkLease()
+	if m.Target == "/status" {
+		return 200, w.report()
+	}
+	var d workers.Direct
+	if packed.Unmarshal(m.Body, &d) != nil {
+		return 400, nil
+	}
+	if w.gone || d.Token < w.token || d.Session != w.session {
+		return 409, w.report()
+	}
+	w.token = d.Token
+	w.execute(d.Commands)
+	return 200, w.report()
+}
+
+func (w *worker) execute(list []workers.Command) {
+	for _, c := range list {
+		key, err := jobs.ParseKey(c.Task)
+		if err != nil {
+			w.cloud.History.broke("a command for %q", c.Task)
+			continue
+		}
+		t := w.tasks[c.Task]
+		switch {
+		case c.Op == "start" && (t == nil || t.attempt != c.Attempt):
+			if t != nil && t.state != workers.StateExited {
+				w.cloud.History.broke("%s is started on %s, which has it", c.Task, w.id)
+				continue
+			}
+			t = &task{key: key, attempt: c.Attempt, state: workers.StateRunning}
+			w.tasks[c.Task] = t
+			w.cloud.History.on(key, c.Attempt, w.id)
+			w.changed()
+			time.AfterFunc(time.Millisecond*time.Duration(10+w.rng.IntN(int(w.cloud.opt.TaskTime.Milliseconds()))), func() { w.finish(t) })
+		case c.Op == "kill" && t != nil && t.attempt == c.Attempt && t.state != workers.StateExited:
+			t.state, t.why = workers.StateExited, "halted"
+			w.cloud.History.off(key, w.id)
+			w.changed()
+		case c.Op == "forget" && t != nil && t.attempt == c.Attempt && t.state == workers.StateExited:
+			if t.why == workers.WhyDone {
+				w.cloud.History.forgotten(key)
+			}
+			delete(w.tasks, c.Task)
+		}
+	}
+}
+
+func (w *worker) finish(t *task) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.gone || w.tasks[t.key.String()] != t || t.state != workers.StateRunning {
+		return
+	}
+	t.state, t.why = workers.StateExited, workers.WhyDone
+	w.cloud.History.finished(t.key)
+	w.cloud.History.off(t.key, w.id)
+	w.changed()
+}
--- a/internal/standin/lossy/lossy.go
+++ b/internal/standin/lossy/lossy.go
@@ -37,10 +37,10 @@
 
 // Losses.
 const (
-	All    Loss = iota // nothing of it is there
-	Kept               // all of it is there
-	Random             // any sectors, in any order, and any of the changes of names
-	Process            // only the process has ended: the system still has all of it, to be lost later
+	All     Loss = iota // nothing of it is there
+	Kept                // all of it is there
+	Random              // any sectors, in any order, and any of the changes of names
+	Process             // only the process has ended: the system still has all of it, to be lost later
 )
 
 // Disk is the directory.
