--- /dev/null
+++ b/cmd/gullrudder/queue.go
@@ -0,0 +1,111 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"gullrudder/internal/controller/node"
+	"gullrudder/internal/wire/packed"
+)
+
+// get asks for something that is answered with v.
+func (a *api) get(path string, v any) error {
+	msg, err := a.ask("GET", path, nil)
+	if err != nil {
+		return err
+	}
+	if msg.Status >= 300 {
+		return &failure{exitRefused, fmt.Errorf("refused with %d%s", msg.Status, why(msg.Body))}
+	}
+	if err := packed.Unmarshal(msg.Body, v); err != nil {
+		return &failure{exitUnavailable, fmt.Errorf("the answer cannot be read: %w", err)}
+	}
+	return nil
+}
+
+func seconds(s float64) string {
+	if s <= 0 {
+		return "-"
+	}
+	return (time.Duration(s) * time.Second).String()
+}
+
+func explainCommand() *cobra.Command {
+	return userCommand("explain JOB", "Show why a job waits, what stands before it, and how long it can wait at worst", "",
+		cobra.ExactArgs(1), func(a *api, args []string) error {
+			var x node.Explanation
+			if err := a.get("/work/"+segment(args[0])+"/explain", &x); err != nil {
+				return err
+			}
+			return a.show(x, func(w io.Writer) { explainTable(w, x) })
+		})
+}
+
+func explainTable(w io.Writer, x node.Explanation) {
+	fmt.Fprintf(w, "job\t%s, %s\n", x.ID, x.State)
+	if x.Team != "" {
+		fmt.Fprintf(w, "team, class\t%s, %s\ntasks\t%d wait, %d run, %d done\nwaits since\t%s\n", x.Team, x.Class, x.Waiting.Waiting, x.Running, x.Done,
+			seconds(x.Age))
+	}
+	if x.Position > 0 {
+		fmt.Fprintf(w, "standing\t%s\nplace\t%d of those that wait, %.0f CPU seconds before it\n", x.Standing, x.Position, x.Ahead)
+	}
+	if x.StartBy > 0 {
+		late := ""
+		if x.Late {
+			late = ": MISSED, see the operators' page on waiting"
+		}
+		fmt.Fprintf(w, "stated when accepted\tfirst start within %s, last within %s%s\n", seconds(x.StartBy), seconds(x.EndBy), late)
+	} else if x.Team != "" {
+		fmt.Fprintln(w, "stated when accepted\tno bound: nothing that it can use was there, or it is a service")
+	}
+	for _, r := range x.Because {
+		fmt.Fprintf(w, "because\t%s\n", r)
+	}
+	for _, r := range x.Changes {
+		fmt.Fprintf(w, "would change it\t%s\n", r)
+	}
+	queueRows(w, x.Before, "\nFIRST OF THOSE BEFORE IT")
+}
+
+func queueCommand() *cobra.Command {
+	var team, class string
+	var most int
+	cmd := userCommand("queue", "List the jobs that wait, in the order in which they get room", "", cobra.NoArgs,
+		func(a *api, _ []string) error {
+			q := url.Values{"most": {strconv.Itoa(most)}}
+			if team != "" {
+				q.Set("team", team)
+			}
+			if class != "" {
+				q.Set("class", class)
+			}
+			var queue node.Queue
+			if err := a.get("/queue?"+q.Encode(), &queue); err != nil {
+				return err
+			}
+			return a.show(queue, func(w io.Writer) {
+				fmt.Fprintf(w, "%d jobs wait; %d have waited longer than was stated\n", queue.Total, queue.Late)
+				queueRows(w, queue.Jobs, "JOB")
+			})
+		})
+	cmd.Flags().StringVar(&team, "team", "", "only those of a team")
+	cmd.Flags().StringVar(&class, "class", "", "only those of a class")
+	cmd.Flags().IntVar(&most, "most", 50, "how many to list, at most 200")
+	return cmd
+}
+
+func queueRows(w io.Writer, rows []node.Waiting, title string) {
+	if len(rows) == 0 {
+		return
+	}
+	fmt.Fprintf(w, "%s\tTEAM\tCLASS\tWAIT\tRUN\tAGE\tFIRST START BY\tSTANDING\n", title)
+	for _, j := range rows {
+		fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%d\t%s\t%s\t%s\n", j.ID, j.Team, j.Class, j.Waiting, j.Running, seconds(j.Age), seconds(j.StartBy), j.Standing)
+	}
+}
--- a/internal/config/options.go
+++ b/internal/config/options.go
@@ -23,9 +23,13 @@
 	Backlog     time.Duration // work waiting longer than this justifies dearer machines
 	LeaderLease time.Duration // life of the leader's key without renewal
 	Promise     time.Duration // length of a promise between controllers
-	SealAfter   time.Duration // how long a finished job stays in the live pages
-	SealJobs    int           // finished jobs that are worth a sealed run
-	MergeRuns   int           // sealed runs that are merged into one
+	AgedShare   float64       // share of the fleet that is kept for what has waited past the age bound
+	// EstimateError is how many times its estimate work is taken to need at most, where a
+	// bound on waiting is stated.
+	EstimateError float64
+	SealAfter     time.Duration // how long a finished job stays in the live pages
+	SealJobs      int           // finished jobs that are worth a sealed run
+	MergeRuns     int           // sealed runs that are merged into one
 }
 
 // DefaultOptions are used where the file says nothing.
@@ -35,6 +39,7 @@
 		AgeBound: 420 * time.Second, PayoffStep: 30 * time.Second,
 		IdleAfter: 12 * time.Second, Backlog: 150 * time.Second,
 		LeaderLease: 1200 * time.Millisecond, Promise: 1200 * time.Millisecond,
+		AgedShare: 0.05, EstimateError: 2,
 		SealAfter: time.Minute, SealJobs: 128, MergeRuns: 8,
 	}
 }
@@ -64,18 +69,20 @@
 func ParseOptions(raw []byte) (Options, error) {
 	o := DefaultOptions()
 	err := parseElements(raw, "gullrudder", map[string]optionField{
-		"term":         durationField(time.Second, time.Hour, &o.Term),
-		"submit-lease": durationField(time.Second, time.Hour, &o.SubmitLease),
-		"team-share":   {0.01, 1000, func(v float64) { o.TeamShare = v }},
-		"age-bound":    durationField(time.Second, 24*time.Hour, &o.AgeBound),
-		"payoff-step":  durationField(time.Second, time.Hour, &o.PayoffStep),
-		"idle-after":   durationField(time.Second, time.Hour, &o.IdleAfter),
-		"backlog":      durationField(time.Second, time.Hour, &o.Backlog),
-		"leader-lease": durationField(time.Second, time.Minute, &o.LeaderLease),
-		"promise":      durationField(time.Second, time.Minute, &o.Promise),
-		"seal-after":   durationField(0, 24*time.Hour, &o.SealAfter),
-		"seal-jobs":    {1, 100_000, func(v float64) { o.SealJobs = int(v) }},
-		"merge-runs":   {2, 32, func(v float64) { o.MergeRuns = int(v) }},
+		"term":           durationField(time.Second, time.Hour, &o.Term),
+		"submit-lease":   durationField(time.Second, time.Hour, &o.SubmitLease),
+		"team-share":     {0.01, 1000, func(v float64) { o.TeamShare = v }},
+		"age-bound":      durationField(time.Second, 24*time.Hour, &o.AgeBound),
+		"payoff-step":    durationField(time.Second, time.Hour, &o.PayoffStep),
+		"idle-after":     durationField(time.Second, time.Hour, &o.IdleAfter),
+		"backlog":        durationField(time.Second, time.Hour, &o.Backlog),
+		"leader-lease":   durationField(time.Second, time.Minute, &o.LeaderLease),
+		"promise":        durationField(time.Second, time.Minute, &o.Promise),
+		"aged-share":     {0, 0.9, func(v float64) { o.AgedShare = v }},
+		"estimate-error": {1, 100, func(v float64) { o.EstimateError = v }},
+		"seal-after":     durationField(0, 24*time.Hour, &o.SealAfter),
+		"seal-jobs":      {1, 100_000, func(v float64) { o.SealJobs = int(v) }},
+		"merge-runs":     {2, 32, func(v float64) { o.MergeRuns = int(v) }},
 	})
 	if err != nil {
 		return Options{}, err
--- a/internal/controller/jobs/jobs.go
+++ b/internal/controller/jobs/jobs.go
@@ -105,8 +105,11 @@
 	State      State
 	Submitted  time.Time
 	Guaranteed bool
-	Cancelling bool // a cancellation is on its way into the ledger; nothing starts any more
-	Finishing  bool // all tasks are done, which is on its way into the ledger
+	StartBy    time.Duration // bound on the wait for its first task, as stated when it was accepted; 0: none
+	EndBy      time.Duration // bound on the wait for its last task's start
+	Late       bool          // the first of them was missed, and that was told
+	Cancelling bool          // a cancellation is on its way into the ledger; nothing starts any more
+	Finishing  bool          // all tasks are done, which is on its way into the ledger
 
 	NDone     int
 	done      []uint64
--- a/internal/controller/jobs/record.go
+++ b/internal/controller/jobs/record.go
@@ -34,6 +34,8 @@
 	Checkpoint float64  `msgpack:"k,omitempty" json:"k,omitempty"`
 	Save       float64  `msgpack:"sa,omitempty" json:"sa,omitempty"`
 	Deadline   float64  `msgpack:"dl,omitempty" json:"dl,omitempty"`
+	StartBy    int64    `msgpack:"bf,omitempty" json:"bf,omitempty"` // seconds
+	EndBy      int64    `msgpack:"bl,omitempty" json:"bl,omitempty"` // seconds
 	Bits       string   `msgpack:"b,omitempty" json:"b,omitempty"`
 }
 
@@ -57,7 +59,8 @@
 	r := Record{State: recAccepted, Tasks: j.Tasks, Label: j.Guaranteed, Submitted: j.Submitted.UnixMilli(),
 		Class: j.Class, Team: j.Team, Service: j.Service, Gang: j.Gang, Priority: int(j.Priority), CPUs: j.CPUs, Cards: j.Cards, Mem: j.Mem,
 		Image: j.Image, ImageGB: j.ImageGB, Types: j.Types, Zone: j.Zone, OneZone: j.OneZone, Spread: j.Spread, Spot: j.Spot,
-		Estimate: j.Estimate.Seconds(), Checkpoint: j.Checkpoint.Seconds(), Save: j.Save.Seconds(), Deadline: j.Deadline.Seconds()}
+		Estimate: j.Estimate.Seconds(), Checkpoint: j.Checkpoint.Seconds(), Save: j.Save.Seconds(), Deadline: j.Deadline.Seconds(),
+		StartBy: int64(j.StartBy / time.Second), EndBy: int64(j.EndBy / time.Second)}
 	if j.Tasks <= chunkBits {
 		r.Bits = packBits(j.done)
 	}
@@ -137,6 +140,7 @@
 	}
 	j := NewJob(s, time.UnixMilli(r.Submitted))
 	j.Guaranteed = r.Label
+	j.StartBy, j.EndBy = time.Duration(r.StartBy)*time.Second, time.Duration(r.EndBy)*time.Second
 	switch r.State {
 	case recAccepted:
 		j.State = Accepted
--- a/internal/controller/node/node.go
+++ b/internal/controller/node/node.go
@@ -96,6 +96,7 @@
 	waiting  []plan.Entry // those of the order that have tasks to start, gangs aside
 	least    float64      // the CPUs of the smallest of their tasks
 	held     []*workers.Machine
+	firsts   map[*jobs.Job]bool                 // aged jobs that go before everything else
 	booked   map[*jobs.Attempt]*workers.Machine // starts of gangs that wait for their machines' reports
 	missing  []*workers.Machine                 // on the roster and not accounted for yet
 	mayAsk   float64                            // workers that may be asked directly now
@@ -109,6 +110,7 @@
 	nextGang time.Time
 	nextDrop time.Time
 	reports  []pendingReport
+	late     int // bounds on waiting that were missed
 	pending  int // submissions that are not durable yet
 }
 
@@ -250,6 +252,10 @@
 		n.only(r, "GET", func() { n.user(now, r, func(now time.Time, r *Request) { n.query(now, r, parts[1]) }) })
 	case parts[0] == "work" && len(parts) == 3 && parts[2] == "withdraw":
 		n.only(r, "POST", func() { n.user(now, r, func(now time.Time, r *Request) { n.withdraw(now, r, parts[1]) }) })
+	case parts[0] == "work" && len(parts) == 3 && parts[2] == "explain":
+		n.only(r, "GET", func() { n.user(now, r, func(now time.Time, r *Request) { n.explain(now, r, parts[1]) }) })
+	case path == "/queue":
+		n.only(r, "GET", func() { n.user(now, r, n.queue) })
 	case path == "/peer/hello" && r.Peer:
 		n.only(r, "POST", func() { n.hello(now, r) })
 	case path == "/peer/inquiry" && r.Peer:
@@ -318,6 +324,7 @@
 	if !now.Before(l.nextSave) {
 		l.nextSave = now.Add(time.Second)
 		n.save(now)
+		n.watchBounds(now)
 	}
 	if l.placing && !now.Before(l.nextGang) {
 		l.nextGang = now.Add(200 * time.Millisecond)
--- a/internal/controller/node/placing.go
+++ b/internal/controller/node/placing.go
@@ -10,6 +10,7 @@
 	"gullrudder/internal/controller/jobs"
 	"gullrudder/internal/controller/place"
 	"gullrudder/internal/controller/plan"
+	"gullrudder/internal/controller/standing"
 	"gullrudder/internal/controller/workers"
 )
 
@@ -71,7 +72,11 @@
 	}
 	l.order = l.planner.Order(now, list, n.room(now))
 	l.waiting, l.least = l.waiting[:0], math.Inf(1)
+	clear(l.firsts)
 	for _, e := range l.order {
+		if e.First {
+			l.firsts[e.Job] = true
+		}
 		if e.Job.Waiting() == 0 {
 			continue
 		}
@@ -224,7 +229,8 @@
 	if count <= 0 || !j.Live() || now.Before(j.NotBefore) || !place.Usable(j, m) {
 		return list
 	}
-	if h := m.HeldFor; h != nil && h != j && !e.Hold {
+	if h := m.HeldFor; h != nil && h != j && (!e.Hold || l.firsts[h] && !(e.First && standing.Older(j, h))) {
+		// What is held for the oldest is not taken bit by bit by those that are planned.
 		return list
 	}
 	count = min(count, place.ZoneRoom(j, m.Zone), place.TeamRoom(j, n.teams[j.Team], l.fleet.Team(j.Team)))
--- a/internal/controller/node/users.go
+++ b/internal/controller/node/users.go
@@ -138,6 +138,7 @@
 		return
 	}
 	j.Guaranteed = l.planner.Admit(now, j, n.live(), n.room(now))
+	n.promise(now, j)
 	answered := false
 	counted := true
 	l.pending++
@@ -321,7 +322,7 @@
 
 func (n *Node) room(now time.Time) plan.Room {
 	l := n.lead
-	var r plan.Room
+	r := plan.Room{Startable: func(j *jobs.Job) int { return place.TeamRoom(j, n.teams[j.Team], l.fleet.Team(j.Team)) }}
 	held := map[fleet.Kind]int{}
 	for _, h := range l.cloud.Hosts {
 		if t := l.cloud.Types[h.Kind.Type]; t != nil && !h.Deleting {
--- a/internal/controller/plan/plan.go
+++ b/internal/controller/plan/plan.go
@@ -11,6 +11,7 @@
 	"gullrudder/internal/config"
 	"gullrudder/internal/controller/jobs"
 	"gullrudder/internal/controller/place"
+	"gullrudder/internal/controller/standing"
 )
 
 // Planner holds what the plan is made from.
@@ -107,6 +108,15 @@
 	Machine float64       // of the machine type that jobs are rounded up to
 	Growth  float64       // CPUs that can still be rented, as far as is known
 	Boot    time.Duration // until rented machines serve
+	// Startable is how many more tasks of a job its team's limit lets run; nil: all that wait.
+	Startable func(j *jobs.Job) int
+}
+
+func (r Room) startable(j *jobs.Job) int {
+	if r.Startable == nil {
+		return j.Waiting()
+	}
+	return min(j.Waiting(), r.Startable(j))
 }
 
 const horizon = 240 // terms that are planned at most
@@ -118,6 +128,7 @@
 	now  time.Time
 	held []float64
 	room Room
+	aged float64 // share of the room that is kept for the aged, and promised to nobody
 }
 
 // lay tries to hold room for a job and reports whether it fits; if not, nothing is held.
@@ -154,7 +165,7 @@
 		if time.Duration(t)*s.term >= s.room.Boot {
 			cpus += s.room.Growth
 		}
-		r := min(width, max(cpus-s.held[t], 0), math.Ceil(work/span/max(j.CPUs, 0.1)-1e-9)*max(j.CPUs, 0.1))
+		r := min(width, max(cpus*(1-s.aged)-s.held[t], 0), math.Ceil(work/span/max(j.CPUs, 0.1)-1e-9)*max(j.CPUs, 0.1))
 		taken = append(taken, r)
 		work -= r * span
 	}
@@ -205,7 +216,7 @@
 		}
 		return list[a].ID < list[b].ID
 	})
-	s := &schedule{term: p.opt.Term, now: now, room: room}
+	s := &schedule{term: p.opt.Term, now: now, room: room, aged: p.opt.AgedShare}
 	for _, j := range list {
 		if s.lay(j, p.PerTask(j), p.Work(j, now)) && planned != nil {
 			planned[j] = true
@@ -230,14 +241,17 @@
 	Hold    bool // free room may be held for it
 	Planned bool // guaranteed, and its terms fit
 	Within  bool // within its team's guarantee
+	First   bool // aged, and before everything else
 	PerTask time.Duration
 	Work    float64
 	Rank    int // the lower the earlier; within a rank the order is by key
 	key     float64
 }
 
+// Ranks, the first first.
 const (
-	rankService = iota
+	rankFirst = iota
+	rankService
 	rankPlanned
 	rankCovered
 	rankWithin
@@ -247,7 +261,13 @@
 	rankMissed
 )
 
-// Order ranks the jobs that may run: services by their priority, the guaranteed jobs by
+// Terms are those of the aged.
+func (p *Planner) Terms() standing.Terms {
+	return standing.Terms{Age: p.opt.AgeBound, Share: p.opt.AgedShare, Error: p.opt.EstimateError}
+}
+
+// Order ranks the jobs that may run: the oldest of the aged, as far as the share goes that is
+// kept for them, services by their priority, the guaranteed jobs by
 // deadline, then best effort: what a team's guarantee covers, what has waited past its
 // bound, what is bound by its team's limit, then the shortest remaining time. Payoff steps: a job whose last aim is missed
 // already earns nothing by being early and goes last, until it has waited past the
@@ -263,6 +283,7 @@
 	p.replan(now, guaranteed, room, planned)
 	within := p.within(live)
 	bound := p.bound(now, live, room)
+	first := p.Terms().First(now, live, room.CPUs, room.startable)
 	list := make([]Entry, 0, len(live))
 	for _, j := range live {
 		e := Entry{Job: j, PerTask: p.PerTask(j), Work: p.Work(j, now), Planned: planned[j], Within: within[j]}
@@ -270,6 +291,8 @@
 		start := firstAfter(p.waitBy[j.Class], age)
 		srt := e.Work / max(room.CPUs, 1)
 		switch {
+		case first[j]:
+			e.Rank, e.key, e.Hold, e.First = rankFirst, -age.Seconds(), true, true
 		case j.Service:
 			e.Rank, e.key, e.Hold = rankService, -float64(j.Priority), true
 		case e.Planned:
@@ -308,6 +331,12 @@
 	return list
 }
 
+// Standing says why an entry is where it is in the order.
+func (e *Entry) Standing() string {
+	return [...]string{"aged, within the share that is kept", "service", "guaranteed, its plan fits", "within its team's guarantee",
+		"within its team's guarantee, late", "aged", "its team is bound by its limit", "shortest remaining time", "its aims are missed"}[e.Rank]
+}
+
 // limitBound is how long a team's work must last at its limit for the team to go ahead.
 const limitBound = time.Minute
 
--- a/internal/standin/model.go
+++ b/internal/standin/model.go
@@ -24,6 +24,7 @@
 	cancelled time.Time // when its user was told
 	finished  time.Time // when its user was told that it is done
 	asked     bool      // its user asked to cancel it
+	began     time.Time // when its first task ran
 	tried     bool      // it was submitted at least once
 }
 
@@ -66,6 +67,9 @@
 		m.w.breakRule("a task of an unknown job runs: %s", t.key)
 		return
 	}
+	if j.began.IsZero() {
+		j.began = m.w.Now
+	}
 	if t.key.Task >= j.spec.Tasks {
 		m.w.breakRule("an impossible task runs: %s", t.key)
 	}
--- a/internal/standin/users.go
+++ b/internal/standin/users.go
@@ -75,9 +75,7 @@
 		s.Service, s.Tasks, s.Deadline, s.Estimate = true, 1+r.IntN(2), 0, 0
 		run = 1000 * time.Hour
 	}
-	u.w.model.jobs[s.ID] = &modelJob{spec: s, run: run, done: map[int]bool{}}
-	u.ids = append(u.ids, s.ID)
-	u.submit(s, u.w.Now)
+	u.Send(s, run)
 	if r.IntN(5) == 0 || s.Service {
 		u.w.At(time.Duration(r.IntN(40))*time.Second, func() { u.cancel(s.ID) })
 	}
@@ -86,6 +84,13 @@
 	}
 }
 
+// Send submits a job whose tasks run for so long.
+func (u *Users) Send(s jobs.Spec, run time.Duration) {
+	u.w.model.jobs[s.ID] = &modelJob{spec: s, run: run, done: map[int]bool{}}
+	u.ids = append(u.ids, s.ID)
+	u.submit(s, u.w.Now)
+}
+
 // ask sends a request through a random controller.
 func (u *Users) ask(method, path string, body any, then func(status int, state string, asked time.Time)) {
 	name := nodeName(u.w.Rng.IntN(u.w.Opt.Nodes))
--- /dev/null
+++ b/internal/standin/waiting_test.go
@@ -0,0 +1,97 @@
+package standin
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gullrudder/internal/controller/jobs"
+	"gullrudder/internal/controller/node"
+	"gullrudder/internal/wire/packed"
+)
+
+// flood is a world in which deadline jobs that fit one by one keep all room, all the time, after
+// a few tasks of low priority were queued. Their tasks need four times the room of the others.
+func flood(seed uint64, share float64) *World {
+	opt := options()
+	opt.Teams, opt.Loss, opt.Capacity = nil, 0, 1
+	opt.Tuning.AgeBound, opt.Tuning.AgedShare, opt.Tuning.Term, opt.Tuning.TeamShare = time.Minute, share, 5*time.Second, 1000
+	w := New(seed, opt, quiet())
+	urgent := func(i int) {
+		w.Users.Send(jobs.Spec{ID: fmt.Sprintf("job-1%05d", i), Class: "urgent", Team: "desk", Priority: jobs.Production, Tasks: 8, CPUs: 1, Mem: 1,
+			Image: "u", ImageGB: 1, Spot: true, Estimate: 12 * time.Second, Deadline: 40 * time.Second}, 12*time.Second)
+	}
+	for i := range 500 {
+		w.At(time.Duration(i)*time.Second, func() { urgent(i) })
+	}
+	for i := range 6 {
+		w.At(time.Duration(20+i)*time.Second, func() {
+			w.Users.Send(jobs.Spec{ID: fmt.Sprintf("job-%06d", i), Class: "ledger", Team: "harvest", Priority: jobs.Low, Tasks: 2, CPUs: 4, Mem: 4,
+				Image: "l", ImageGB: 1, Spot: true, Estimate: 20 * time.Second}, 20*time.Second)
+		})
+	}
+	return w
+}
+
+// explained asks the leader why a job waits.
+func (w *World) explained(id string) (x node.Explanation) {
+	w.request(w.State.leader(), false, "GET", "/work/"+id+"/explain", nil, func(status int, body any) {
+		if raw, err := encode(body); err == nil && status == 200 && packed.Unmarshal(raw, &x) != nil {
+			w.breakRule("an explanation cannot be read")
+		}
+	})
+	w.Run(20 * time.Millisecond)
+	return x
+}
+
+// A flood of urgent work does not hold up what was queued before it: everything starts within
+// the bound that was stated when it was accepted. Without a share for the aged the same work
+// waits beyond it.
+func TestFloodDoesNotStarveWhatWaits(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(2) {
+		worst, most := map[bool]time.Duration{}, time.Duration(0)
+		for _, kept := range []bool{false, true} {
+			share := 0.15
+			if !kept {
+				share = 0
+			}
+			w := flood(seed, share)
+			w.Run(50 * time.Second)
+			bounds := map[string]time.Duration{}
+			for i := range 6 {
+				id := fmt.Sprintf("job-%06d", i)
+				x := w.explained(id)
+				bounds[id] = time.Duration(x.StartBy * float64(time.Second))
+				if kept {
+					most = max(most, bounds[id])
+				}
+				if kept && bounds[id] == 0 {
+					t.Fatalf("seed %d: no bound is stated for %s: %+v", seed, id, x)
+				}
+				if len(x.Because) == 0 || x.Waiting.Waiting > 0 && x.Position < 1 {
+					t.Errorf("seed %d: %s is not explained: %+v", seed, id, x)
+				}
+			}
+			w.Run(450 * time.Second)
+			if len(w.Broken) > 0 {
+				t.Fatalf("seed %d: %v", seed, w.Broken)
+			}
+			for id, bound := range bounds {
+				j := w.model.jobs[id]
+				waited := w.Now.Sub(j.accepted)
+				if !j.began.IsZero() {
+					waited = j.began.Sub(j.accepted)
+				}
+				worst[kept] = max(worst[kept], waited)
+				if kept && waited > bound {
+					t.Errorf("seed %d: %s waits %v, stated was %v", seed, id, waited, bound)
+				}
+			}
+		}
+		t.Logf("seed %d: the longest wait is %v without a share and %v with one, stated %v", seed, worst[false].Round(time.Second), worst[true].Round(time.Second), most)
+		if worst[false] < worst[true]*5/4 {
+			t.Errorf("seed %d: the share makes little difference: %v without, %v with it", seed, worst[false], worst[true])
+		}
+	}
+}
