Timeline: each moment of a job is counted to one cause, and told

Need: nothing told whether a late job had waited for a machine, for others, its image or a leader.

Change: internal/controller/timeline looks at all jobs twice a second and counts whole milliseconds to the cause that keeps the task that is furthest from done; sums are exact, kept in the job's record when that is written anyway, and what an earlier leader had not written is a cause of its own. Told by `explain`, `account`, the job's answer (`because`), /metrics at an address that is set, and a line a class each minute.

--- a/cmd/gullrudder/queue.go
+++ b/cmd/gullrudder/queue.go
@@ -69,6 +69,9 @@
 	} else if x.Team != "" {
 		fmt.Fprintln(w, "stated when accepted\tno bound: nothing that it can use was there, or it is a service")
 	}
+	if len(x.Account) > 0 {
+		fmt.Fprintf(w, "its time so far\t%s\n", shareText(x.Account))
+	}
 	for _, r := range x.Because {
 		fmt.Fprintf(w, "because\t%s\n", r)
 	}
--- a/cmd/gullrudder/serve.go
+++ b/cmd/gullrudder/serve.go
@@ -13,6 +13,7 @@
 
 	"gullrudder/internal/config"
 	"gullrudder/internal/controller/node"
+	"gullrudder/internal/wire/scrape"
 )
 
 // version is set by the release build.
@@ -21,7 +22,7 @@
 func root() *cobra.Command {
 	cmd := &cobra.Command{Use: "gullrudder", Short: "A cluster scheduler for deadline jobs",
 		SilenceUsage: true, SilenceErrors: true}
-	cmd.AddCommand(serveCommand(), checkCommand(), submitCommand(), showCommand(), withdrawCommand(), explainCommand(), queueCommand(), settingsCommand(), statusCommand(), stateCommand(), versionCommand())
+	cmd.AddCommand(serveCommand(), checkCommand(), submitCommand(), showCommand(), withdrawCommand(), explainCommand(), queueCommand(), accountCommand(), settingsCommand(), statusCommand(), stateCommand(), versionCommand())
 	return cmd
 }
 
@@ -46,7 +47,7 @@
 }
 
 func serveCommand() *cobra.Command {
-	var platform, operators string
+	var platform, operators, metrics string
 	cmd := &cobra.Command{Use: "serve", Short: "Run a controller", Args: cobra.NoArgs,
 		RunE: func(*cobra.Command, []string) error {
 			cfg, opt, err := load(platform, operators)
@@ -59,11 +60,20 @@
 			now := time.Now()
 			rng := rand.New(rand.NewPCG(uint64(now.UnixNano()), uint64(os.Getpid())))
 			n := node.New(cfg, opt, now, rng, log)
+			if metrics != "" {
+				go func() {
+					for {
+						log.Error("metrics are not served, and tried again", "error", scrape.Serve(n.Registry(), metrics, log))
+						time.Sleep(time.Second)
+					}
+				}()
+			}
 			log.Info("serving", "public", cfg.Public, "peers", cfg.PeerBind)
 			node.NewRuntime(n, cfg, log).Serve()
 			return nil
 		}}
 	settingsFlags(cmd, &platform, &operators)
+	cmd.Flags().StringVar(&metrics, "metrics", "", "serve figures for Prometheus at this address; empty: nowhere")
 	return cmd
 }
 
--- a/internal/controller/book/book.go
+++ b/internal/controller/book/book.go
@@ -11,6 +11,7 @@
 	"gullrudder/internal/controller/history"
 	"gullrudder/internal/controller/jobs"
 	"gullrudder/internal/controller/ledger"
+	"gullrudder/internal/controller/timeline"
 	"gullrudder/internal/controller/workers"
 	"gullrudder/internal/wire/outbox"
 )
@@ -32,6 +33,7 @@
 	log     *slog.Logger
 	ledger  *ledger.Ledger
 	fleet   *workers.Fleet
+	times   *timeline.Log
 	changed func() // the order of the jobs is not what it was
 
 	Jobs     map[string]*jobs.Job // unfinished; for looking only
@@ -48,12 +50,13 @@
 	Options  *config.Options
 	Ledger   *ledger.Ledger
 	Fleet    *workers.Fleet
+	Times    *timeline.Log
 	Log      *slog.Logger
 }
 
 // New makes an empty book.
 func New(w World) *Book {
-	return &Book{cfg: w.Platform, opt: w.Options, log: w.Log, ledger: w.Ledger, fleet: w.Fleet, changed: func() {},
+	return &Book{cfg: w.Platform, opt: w.Options, log: w.Log, ledger: w.Ledger, fleet: w.Fleet, times: w.Times, changed: func() {},
 		Jobs: map[string]*jobs.Job{}, finals: map[string]Final{}}
 }
 
@@ -64,7 +67,16 @@
 func (b *Book) Find(id string) *jobs.Job { return b.Jobs[id] }
 
 // Add takes a job whose acceptance is on its way into the ledger.
-func (b *Book) Add(j *jobs.Job) { b.Jobs[j.ID] = j }
+func (b *Book) Add(j *jobs.Job) {
+	b.Jobs[j.ID] = j
+	b.times.Begin(j)
+}
+
+// Cancelled takes in that a job's cancellation is durable.
+func (b *Book) Cancelled(now time.Time, j *jobs.Job) {
+	j.State = jobs.Cancelled
+	b.times.Close(now, j)
+}
 
 // Final is a finished job that is in the live pages.
 func (b *Book) Final(id string) (Final, bool) {
@@ -127,6 +139,7 @@
 			return
 		}
 		j.State = jobs.Done
+		b.times.Close(now, j)
 		b.retire(now, j)
 		b.log.Info("job done", "job", j.ID, "after", now.Sub(j.Submitted).Round(time.Millisecond))
 	})
@@ -178,7 +191,9 @@
 			}
 		}
 		if chunks == nil {
-			err = b.ledger.Set(now, j.ID, j.Record(), j.Reserve(), false, durable)
+			rec := j.Record()
+			rec.Spent = b.times.Kept(j)
+			err = b.ledger.Set(now, j.ID, rec, j.Reserve(), false, durable)
 		}
 		for name, c := range chunks {
 			if e := b.ledger.Set(now, name, c, jobs.ChunkReserve, false, durable); e != nil {
@@ -255,8 +270,8 @@
 	}
 }
 
-// Restore takes in an entry of the ledger at a takeover.
-func (b *Book) Restore(now time.Time, name string, decode func(any) error) {
+// Restore takes in an entry of the ledger at a takeover; since is when the leadership began.
+func (b *Book) Restore(now, since time.Time, name string, decode func(any) error) {
 	var rec jobs.Record
 	if err := decode(&rec); err != nil {
 		b.log.Error("a job cannot be read", "job", name, "error", err)
@@ -273,6 +288,9 @@
 		return
 	}
 	b.Jobs[name] = j
+	if j.State == jobs.Accepted {
+		b.times.Restore(j, rec.Spent, since)
+	}
 }
 
 // RestoreChunk takes in the results of some tasks of a large array, after all jobs.
--- a/internal/controller/jobs/record.go
+++ b/internal/controller/jobs/record.go
@@ -36,6 +36,7 @@
 	Deadline   float64  `msgpack:"dl,omitempty" json:"dl,omitempty"`
 	StartBy    int64    `msgpack:"bf,omitempty" json:"bf,omitempty"` // seconds
 	EndBy      int64    `msgpack:"bl,omitempty" json:"bl,omitempty"` // seconds
+	Spent      string   `msgpack:"ac,omitempty" json:"ac,omitempty"` // its account of time
 	Bits       string   `msgpack:"b,omitempty" json:"b,omitempty"`
 }
 
@@ -67,6 +68,9 @@
 	return r
 }
 
+// SpentReserve is the most JSON bytes of an account of time with its name.
+const SpentReserve = 90
+
 // Reserve is the most JSON bytes that the job's record may need while it lives.
 func (j *Job) Reserve() int {
 	if j.reserve == 0 {
@@ -76,7 +80,7 @@
 		if err != nil {
 			return 1 << 20
 		}
-		j.reserve = len(raw)
+		j.reserve = len(raw) + SpentReserve
 		if j.Tasks <= chunkBits {
 			j.reserve += (j.Tasks/8+1)*4/3 + 10
 		}
--- a/internal/controller/node/node.go
+++ b/internal/controller/node/node.go
@@ -9,6 +9,8 @@
 	"strings"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
+
 	"gullrudder/internal/config"
 	"gullrudder/internal/controller/book"
 	"gullrudder/internal/controller/fleet"
@@ -21,6 +23,7 @@
 	"gullrudder/internal/controller/requests"
 	"gullrudder/internal/controller/settings"
 	"gullrudder/internal/controller/takeover"
+	"gullrudder/internal/controller/timeline"
 	"gullrudder/internal/controller/workers"
 	"gullrudder/internal/wire/inbox"
 	"gullrudder/internal/wire/outbox"
@@ -51,7 +54,10 @@
 	opt config.Options
 	log *slog.Logger
 
+	teams    map[string]config.Team
 	peers    map[string]string
+	registry *prometheus.Registry
+	metrics  *timeline.Metrics
 	election *leader.Election
 	met      bool // a leader has been heard of, or this is one
 	lead     *leadership
@@ -76,8 +82,10 @@
 	rental   *rental.Desk
 	clerk    *reports.Clerk
 	takeover *takeover.Takeover
+	times    *timeline.Log
 	requests *requests.Desk
 	nextLook time.Time // for leases that have ended
+	nextTime time.Time // for the causes that jobs wait for
 }
 
 // tickEvery is how often the owner looks at what is due.
@@ -85,7 +93,11 @@
 
 // New makes the state of a process that has just started.
 func New(cfg *config.Platform, opt config.Options, now time.Time, rng *rand.Rand, log *slog.Logger) *Node {
-	n := &Node{cfg: cfg, opt: opt, log: log, out: inbox.Answers{Log: log}, peers: map[string]string{}, watch: newLatencies()}
+	n := &Node{cfg: cfg, opt: opt, log: log, out: inbox.Answers{Log: log}, teams: map[string]config.Team{}, peers: map[string]string{}, registry: prometheus.NewRegistry(), watch: newLatencies()}
+	n.metrics = timeline.NewMetrics(n.registry)
+	for _, t := range cfg.Teams {
+		n.teams[t.Name] = t
+	}
 	var peers []leader.Peer
 	for _, p := range cfg.Peers {
 		peers = append(peers, leader.Peer{Name: p.Name, Addr: p.Addr})
@@ -124,6 +136,7 @@
 			l.ledger.Flush(now, &n.box)
 		} else {
 			l.clerk.TurnAway()
+			l.times.Away(now)
 		}
 	}
 	return Effects{Replies: n.out.Take(), Calls: n.box.Take()}
@@ -153,6 +166,7 @@
 	l.ledger.Close()
 	l.cloud.Close()
 	l.takeover.Close()
+	l.times.End()
 	l.clerk.TurnAway()
 }
 
@@ -236,6 +250,10 @@
 	}
 	l.takeover.Tick(now, tickEvery)
 	placing := l.takeover.Placing()
+	if !now.Before(l.nextTime) {
+		l.nextTime = now.Add(n.lookEvery(l.times.Open()))
+		l.times.Look(now, timeline.View{Placing: placing, Healthy: l.ledger.Healthy(), Teams: n.teams, Fleet: l.fleet, Cloud: l.cloud})
+	}
 	l.book.Save(now, placing)
 	l.placer.Tick(now, placing)
 	if placing {
@@ -243,6 +261,22 @@
 	}
 }
 
+// lookShare is how much of the processor's share may go into seeing what jobs wait for, and
+// lookCost what it takes for a job (measured: BenchmarkLook).
+const (
+	lookShare = 0.02
+	lookCost  = 150 * time.Nanosecond
+)
+
+// lookEvery is how often it is seen what jobs wait for: twice a second, and more seldom the more
+// jobs there are.
+func (n *Node) lookEvery(open int) time.Duration {
+	return max(500*time.Millisecond, time.Duration(float64(open)*float64(lookCost)/(lookShare*n.cfg.CPUShare)))
+}
+
+// Registry has the controller's figures; it is safe to read at any time.
+func (n *Node) Registry() *prometheus.Registry { return n.registry }
+
 // takeOver begins a leadership with nothing but the ledger to come.
 func (n *Node) takeOver(now time.Time) {
 	n.lead = n.newLeadership(now, n.election.Token())
@@ -259,17 +293,18 @@
 	l.cloud = fleet.New(token, n.cfg.CloudRate, n.cfg.ListLag, n.log)
 	l.fleet = workers.NewFleet(workers.LeaseEnd(n.cfg.WorkerLease), n.log)
 	l.planner = plan.New(n.opt, n.cfg)
-	l.book = book.New(book.World{Platform: n.cfg, Options: opt, Ledger: l.ledger, Fleet: l.fleet, Log: n.log})
+	l.times = timeline.New(n.metrics, n.log)
+	l.book = book.New(book.World{Platform: n.cfg, Options: opt, Ledger: l.ledger, Fleet: l.fleet, Times: l.times, Log: n.log})
 	l.placer = place.NewPlacer(place.World{Platform: n.cfg, Token: token, Jobs: l.book.Jobs, Fleet: l.fleet, Planner: l.planner,
 		Room: func(now time.Time) plan.Room { return l.rental.Room(now) }, Box: &n.box, Log: n.log})
 	l.rental = rental.NewDesk(rental.World{Platform: n.cfg, Options: opt, Token: token, Since: now, First: func() bool { return l.takeover.First() },
 		Cloud: l.cloud, Fleet: l.fleet, Planner: l.planner, Placer: l.placer, Box: &n.box, Log: n.log})
 	l.clerk = reports.NewClerk(reports.World{Platform: n.cfg, Token: token, Ledger: l.ledger, Book: l.book, Fleet: l.fleet, Cloud: l.cloud,
-		Planner: l.planner, Placer: l.placer, Answers: &n.out, Log: n.log})
+		Planner: l.planner, Placer: l.placer, Times: l.times, Answers: &n.out, Log: n.log})
 	l.takeover = takeover.New(takeover.World{Platform: n.cfg, Token: token, Since: now, Ledger: l.ledger, Book: l.book, Settings: l.settings,
 		Fleet: l.fleet, Cloud: l.cloud, Clerk: l.clerk, Placer: l.placer, Box: &n.box, Log: n.log})
 	l.requests = requests.NewDesk(requests.World{Platform: n.cfg, Options: opt, Ledger: l.ledger, Book: l.book, Fleet: l.fleet, Cloud: l.cloud,
-		Planner: l.planner, Placer: l.placer, Rental: l.rental, Takeover: l.takeover,
+		Planner: l.planner, Placer: l.placer, Rental: l.rental, Takeover: l.takeover, Times: l.times,
 		Acting: func() bool { return n.lead == l && n.acting }, Answers: &n.out, Box: &n.box, Log: n.log})
 	l.book.OnChange(l.placer.Changed)
 	l.settings.OnChange(func(opt config.Options) {
--- a/internal/controller/reports/clerk.go
+++ b/internal/controller/reports/clerk.go
@@ -14,6 +14,7 @@
 	"gullrudder/internal/controller/ledger"
 	"gullrudder/internal/controller/place"
 	"gullrudder/internal/controller/plan"
+	"gullrudder/internal/controller/timeline"
 	"gullrudder/internal/controller/workers"
 	"gullrudder/internal/wire/inbox"
 	"gullrudder/internal/wire/packed"
@@ -48,6 +49,7 @@
 	cloud   *fleet.Cloud
 	planner *plan.Planner
 	placer  *place.Placer
+	times   *timeline.Log
 	list    []pending
 }
 
@@ -61,6 +63,7 @@
 	Cloud    *fleet.Cloud
 	Planner  *plan.Planner
 	Placer   *place.Placer
+	Times    *timeline.Log
 	Answers  *inbox.Answers
 	Log      *slog.Logger
 }
@@ -68,7 +71,7 @@
 // NewClerk makes the clerk of a new leadership.
 func NewClerk(w World) *Clerk {
 	return &Clerk{cfg: w.Platform, log: w.Log, out: w.Answers, token: w.Token, ledger: w.Ledger, book: w.Book, fleet: w.Fleet, cloud: w.Cloud,
-		planner: w.Planner, placer: w.Placer}
+		planner: w.Planner, placer: w.Placer, times: w.Times}
 }
 
 // TurnAway refuses the reports that still wait for an answer.
@@ -146,6 +149,17 @@
 	}
 }
 
+// lostTo is the cause that the account of a job gives for an attempt that did not get done.
+func lostTo(e workers.Ended) timeline.Cause {
+	switch {
+	case !e.Attempt.Stopping.IsZero() || e.Why == workers.WhyHalted:
+		return timeline.Stopped
+	case e.Why == workers.Lost:
+		return timeline.LostMachine
+	}
+	return timeline.LostFailed
+}
+
 // Ended takes in the attempts that are known to be gone.
 func (c *Clerk) Ended(now time.Time, m *workers.Machine, list []workers.Ended) {
 	for _, e := range list {
@@ -166,6 +180,7 @@
 			if !a.Running.IsZero() && !j.Resumed[a.Key.Task] {
 				c.planner.Learn(j, now.Sub(a.Running))
 			}
+			c.times.TaskDone(j, a.Key.Task)
 			if j.TaskDone(a.Key.Task) {
 				c.book.Finish(now, j)
 			}
@@ -178,6 +193,7 @@
 			j.NotBefore = now.Add(2 * time.Second)
 			c.log.Info("start refused", "task", a.Key, "machine", m.ID, "why", e.Why)
 		}
+		c.times.Lost(j, a.Key.Task, lostTo(e))
 		if e.Saved {
 			j.Resumed[a.Key.Task] = true
 		}
--- a/internal/controller/requests/desk.go
+++ b/internal/controller/requests/desk.go
@@ -18,6 +18,7 @@
 	"gullrudder/internal/controller/rental"
 	"gullrudder/internal/controller/standing"
 	"gullrudder/internal/controller/takeover"
+	"gullrudder/internal/controller/timeline"
 	"gullrudder/internal/controller/workers"
 	"gullrudder/internal/wire/inbox"
 	"gullrudder/internal/wire/outbox"
@@ -39,6 +40,7 @@
 	placer  *place.Placer
 	rental  *rental.Desk
 	take    *takeover.Takeover
+	times   *timeline.Log
 	gate    *standing.Gate // bounds the submissions that are not durable yet
 	acting  func() bool    // the leadership is entitled to act
 }
@@ -55,6 +57,7 @@
 	Placer   *place.Placer
 	Rental   *rental.Desk
 	Takeover *takeover.Takeover
+	Times    *timeline.Log
 	Acting   func() bool
 	Answers  *inbox.Answers
 	Box      *outbox.Box
@@ -64,7 +67,7 @@
 // NewDesk makes the desk of a new leadership.
 func NewDesk(w World) *Desk {
 	d := &Desk{cfg: w.Platform, opt: w.Options, teams: map[string]config.Team{}, log: w.Log, out: w.Answers, box: w.Box, ledger: w.Ledger,
-		book: w.Book, fleet: w.Fleet, cloud: w.Cloud, planner: w.Planner, placer: w.Placer, rental: w.Rental, take: w.Takeover, acting: w.Acting}
+		book: w.Book, fleet: w.Fleet, cloud: w.Cloud, planner: w.Planner, placer: w.Placer, rental: w.Rental, take: w.Takeover, times: w.Times, acting: w.Acting}
 	for _, t := range w.Platform.Teams {
 		d.teams[t.Name] = t
 	}
@@ -77,7 +80,7 @@
 // Method is what a path that a desk serves is asked with, empty if it serves no such path.
 func Method(parts []string) string {
 	switch {
-	case len(parts) == 1 && parts[0] == "queue", len(parts) == 2 && parts[0] == "work":
+	case len(parts) == 1 && (parts[0] == "queue" || parts[0] == "account"), len(parts) == 2 && parts[0] == "work":
 		return "GET"
 	case len(parts) == 1 && parts[0] == "work", len(parts) == 3 && parts[0] == "work" && parts[2] == "withdraw":
 		return "POST"
@@ -92,6 +95,8 @@
 	switch {
 	case parts[0] == "queue":
 		d.queue(now, r)
+	case parts[0] == "account":
+		d.account(now, r)
 	case len(parts) == 1:
 		d.submit(now, r)
 	case len(parts) == 2:
@@ -109,6 +114,7 @@
 	Label   string `msgpack:"label,omitempty"`
 	Done    *int   `msgpack:"done,omitempty"`
 	Running *int   `msgpack:"running,omitempty"`
+	Because string `msgpack:"because,omitempty"` // what keeps it from being done
 }
 
 const (
--- a/internal/controller/requests/explain.go
+++ b/internal/controller/requests/explain.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"gullrudder/internal/controller/book"
 	"gullrudder/internal/controller/fleet"
 	"gullrudder/internal/controller/jobs"
 	"gullrudder/internal/controller/place"
@@ -114,6 +115,7 @@
 	Ahead    float64   `msgpack:"cpu_s_before" json:"cpu_s_before"`
 	Because  []string  `msgpack:"because" json:"because"`
 	Changes  []string  `msgpack:"would_change" json:"would_change"`
+	Account  []Share   `msgpack:"account" json:"account"` // where its time went so far
 }
 
 const (
@@ -160,8 +162,15 @@
 
 // explain says why a job waits, what stands before it, and what would change that.
 func (d *Desk) explain(now time.Time, r *inbox.Request, id string) {
+	if e, ok := d.times.OfEnded(id); ok {
+		// Also if it is sealed by now: what ended under this leader is known without a look back.
+		d.out.Reply(r, 200, Explanation{Waiting: Waiting{ID: id, Team: e.Team, Class: e.Class}, State: finalAnswer(id, book.Final{Done: e.Done}, false).State,
+			Because: []string{"it is over"}, Account: shares(&e.Spent)}, 0)
+		return
+	}
 	if f, ok := d.book.Final(id); ok {
-		d.out.Reply(r, 200, Explanation{Waiting: Waiting{ID: id}, State: finalAnswer(id, f, false).State, Because: []string{"it is over"}}, 0)
+		d.out.Reply(r, 200, Explanation{Waiting: Waiting{ID: id}, State: finalAnswer(id, f, false).State,
+			Because: []string{"it is over, under an earlier leader"}}, 0)
 		return
 	}
 	j := d.book.Find(id)
@@ -172,6 +181,9 @@
 	order := d.placer.Order(now)
 	x := Explanation{State: j.Wire(), Before: []Waiting{}, Because: []string{}, Changes: []string{}}
 	x.Waiting = waiting(now, j, "")
+	if spent, _, ok := d.times.Of(now, j); ok {
+		x.Account = shares(&spent)
+	}
 	found := false
 	for i := range order {
 		e := &order[i]
--- a/internal/controller/requests/query.go
+++ b/internal/controller/requests/query.go
@@ -42,7 +42,11 @@
 		return
 	}
 	running := j.RunningTasks()
-	d.out.Reply(r, 200, jobAnswer{ID: id, State: j.Wire(), Label: label(j.Guaranteed), Done: &j.NDone, Running: &running}, 0)
+	because := ""
+	if _, cause, ok := d.times.Of(now, j); ok {
+		because = cause.String()
+	}
+	d.out.Reply(r, 200, jobAnswer{Because: because, ID: id, State: j.Wire(), Label: label(j.Guaranteed), Done: &j.NDone, Running: &running}, 0)
 }
 
 // missing answers for a job that is neither live nor final in the pages: from the history, or
@@ -96,7 +100,7 @@
 	rec.State = jobs.FinalRecord(jobs.Cancelled, 0).State
 	err := d.ledger.Set(now, j.ID, rec, j.Reserve(), true, func(now time.Time, ok bool) {
 		if ok && j.State == jobs.Accepted {
-			j.State = jobs.Cancelled
+			d.book.Cancelled(now, j)
 			d.log.Info("job cancelled", "job", j.ID)
 		}
 		if r == nil {
--- a/internal/controller/takeover/takeover.go
+++ b/internal/controller/takeover/takeover.go
@@ -131,7 +131,7 @@
 			chunks = append(chunks, chunk{name, id, c, v})
 			return
 		}
-		t.book.Restore(now, name, decode)
+		t.book.Restore(now, t.since, name, decode)
 	})
 	for _, c := range chunks {
 		t.book.RestoreChunk(now, c.name, c.id, c.c, c.v)
--- /dev/null
+++ b/internal/controller/timeline/timeline_test.go
@@ -0,0 +1,272 @@
+package timeline
+
+import (
+	"fmt"
+	"log/slog"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"pgregory.net/rapid"
+
+	"gullrudder/internal/config"
+	"gullrudder/internal/controller/fleet"
+	"gullrudder/internal/controller/jobs"
+	"gullrudder/internal/controller/place"
+	"gullrudder/internal/controller/workers"
+	"gullrudder/internal/steady"
+)
+
+func TestMain(m *testing.M) { steady.Main(m) }
+
+func newLog() *Log {
+	l, _ := newLogAndFigures()
+	return l
+}
+
+func newLogAndFigures() (*Log, *prometheus.Registry) {
+	registry := prometheus.NewRegistry()
+	return New(NewMetrics(registry), slog.New(slog.DiscardHandler)), registry
+}
+
+func newJob(i, tasks int, at time.Time) *jobs.Job {
+	j := jobs.NewJob(jobs.Spec{ID: fmt.Sprintf("job-%06d", i), Team: "t", Class: "c", Tasks: tasks, CPUs: 1, Mem: 1, Spot: true}, at)
+	j.State = jobs.Accepted
+	return j
+}
+
+// site is a fleet of one kind of machine.
+type site struct {
+	View
+	now time.Time
+}
+
+func newSite() *site {
+	log := slog.New(slog.DiscardHandler)
+	r := &site{now: time.Unix(10_000, 0), View: View{Placing: true, Healthy: true, Teams: map[string]config.Team{"t": {Name: "t", CPULimit: 100}},
+		Fleet: workers.NewFleet(time.Minute, log), Cloud: fleet.New(1, 2, time.Second, log)}}
+	r.Cloud.Types = map[string]*fleet.Type{"small": {Name: "small", CPUs: 2, Mem: 8, Zones: []string{"a"}}}
+	return r
+}
+
+func (r *site) machine(i int) *workers.Machine {
+	m := r.Fleet.Machine(fmt.Sprintf("vm-%d", i))
+	r.Fleet.Observe(r.now, m, &workers.Report{Machine: m.ID, Type: "small", Zone: "a", Session: 1, Seq: m.Seq + 1}, true, func(string) *jobs.Job { return nil })
+	r.Fleet.Measure(m, place.Size(r.Cloud.Types["small"]), 0, 0)
+	return m
+}
+
+func (r *site) start(m *workers.Machine, j *jobs.Job) *jobs.Attempt {
+	t := j.NextTask()
+	a := &jobs.Attempt{Key: jobs.Key{Job: j.ID, Task: t}, Number: uint64(t + 1), Machine: m.ID, Zone: m.Zone, Job: j, Assigned: r.now}
+	r.Fleet.Place(m, a)
+	return a
+}
+
+// Each cause, brought about one after the other on one job; the account sums to its time.
+func TestEachCause(t *testing.T) {
+	r := newSite()
+	l, registry := newLogAndFigures()
+	j, other := newJob(1, 2, r.now), newJob(2, 9, r.now)
+	j.State = jobs.Pending
+	l.Begin(j)
+	var want Spent
+	step := func(cause Cause, before func()) {
+		t.Helper()
+		before()
+		l.Look(r.now, r.View)
+		if _, got, _ := l.Of(r.now, j); got != cause {
+			t.Errorf("%v instead of %v", got, cause)
+		}
+		want[cause] += 1500
+		r.now = r.now.Add(1500 * time.Millisecond)
+	}
+	var m *workers.Machine
+	var a, b *jobs.Attempt
+	step(NotAccepted, func() {})
+	step(StateAway, func() { r.Healthy = false })
+	step(NoLeader, func() { r.Healthy, r.Placing, j.State = true, false, jobs.Accepted })
+	step(NoMachine, func() { r.Placing = true })
+	step(Booting, func() { r.Cloud.Seen(r.now, "vm-1", "", fleet.Kind{Type: "small", Zone: "a"}) })
+	step(AwaitReport, func() { m = r.machine(1) })
+	step(Held, func() { m.HeldFor = other })
+	step(Behind, func() { m.HeldFor = nil; r.start(m, other); r.start(m, other) })
+	step(TeamLimit, func() { r.Teams["t"] = config.Team{Name: "t", CPULimit: 2} })
+	step(AwaitReport, func() { r.Teams["t"] = config.Team{}; m = r.machine(2); a = r.start(m, j) })
+	step(AwaitReport, func() { b = r.start(m, j) })
+	step(Image, func() { a.Seen, b.Seen = 1, 1 })
+	step(Image, func() { j.SawRunning(a, r.now) })
+	step(Running, func() { j.SawRunning(b, r.now) })
+	step(Running, func() { j.TaskDone(a.Key.Task); j.Detach(a); l.TaskDone(j, a.Key.Task) })
+	step(LostMachine, func() { r.Fleet.Clear(m); j.Again(b.Key.Task); l.Lost(j, b.Key.Task, LostMachine) })
+	step(LostMachine, func() { b = r.start(m, j) })
+	step(NotDurable, func() { j.SawRunning(b, r.now); j.TaskDone(b.Key.Task); l.TaskDone(j, b.Key.Task); j.Finishing = true })
+	step(StateAway, func() { r.Healthy = false })
+	l.Away(r.now)
+	want[NoLeader] += 700
+	r.now = r.now.Add(700 * time.Millisecond)
+	l.Look(r.now, r.View)
+	j.State = jobs.Done
+	l.Close(r.now, j)
+	e, ok := l.OfEnded(j.ID)
+	if !ok || e.Spent != want || e.Spent.Total() != r.now.Sub(j.Submitted).Milliseconds() {
+		t.Errorf("%+v, want %v", e, want)
+	}
+	families, err := registry.Gather()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, f := range families {
+		sum := 0.0
+		for _, m := range f.GetMetric() {
+			sum += m.GetCounter().GetValue()
+		}
+		if f.GetName() == "gullrudder_job_seconds_total" && int64(sum*1000+0.5) != want.Total() || f.GetName() == "gullrudder_jobs_ended_total" && sum != 1 {
+			t.Errorf("%s sums to %g", f.GetName(), sum)
+		}
+	}
+	if all := l.Tallies("t", "", time.Time{}); len(all) != 1 || all[0].Jobs != 1 || all[0].Spent != want || len(l.Tallies("t", "x", time.Time{})) > 0 {
+		t.Errorf("%+v", all)
+	}
+}
+
+// Whatever happens in whatever order, over several leaders and clocks that differ, an account sums
+// to the job's time exactly, and so do the sums by class.
+func TestAccountsSumExactly(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r, l := newSite(), newLog()
+		m := r.machine(1)
+		list := []*jobs.Job{}
+		for i := range rapid.IntRange(1, 4).Draw(t, "jobs") {
+			list = append(list, newJob(i, 3, r.now))
+			l.Begin(list[i])
+		}
+		ended := map[string]int64{}
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			r.now = r.now.Add(time.Duration(rapid.IntRange(0, 9_000_000).Draw(t, "us")) * time.Microsecond)
+			j := rapid.SampledFrom(list).Draw(t, "job")
+			switch rapid.IntRange(0, 6).Draw(t, "what") {
+			case 0:
+				l.Look(r.now, r.View)
+			case 1:
+				l.Away(r.now)
+			case 2:
+				r.Placing, r.Healthy = rapid.Bool().Draw(t, "placing"), rapid.Bool().Draw(t, "healthy")
+			case 3:
+				if j.Waiting() > 0 && m.Fits(j) > 0 {
+					a := r.start(m, j)
+					j.SawRunning(a, r.now)
+				}
+			case 4:
+				for _, e := range r.Fleet.Clear(m) {
+					e.Attempt.Job.Again(e.Attempt.Key.Task)
+					l.Lost(e.Attempt.Job, e.Attempt.Key.Task, Stopped)
+				}
+			case 5:
+				if _, over := ended[j.ID]; !over {
+					j.State = jobs.Done
+					l.Close(r.now, j)
+					ended[j.ID] = sinceSubmission(j, r.now)
+				}
+			case 6: // another leader, whose clock is a little behind or ahead
+				next := newLog()
+				skew := time.Duration(rapid.IntRange(-500, 500).Draw(t, "skew")) * time.Millisecond
+				for _, j := range list {
+					if _, over := ended[j.ID]; over {
+						continue
+					}
+					kept := l.Kept(j)
+					if len(kept) > KeptBytes || len(kept)+12 > jobs.SpentReserve {
+						t.Fatalf("%d bytes are kept", len(kept))
+					}
+					next.Restore(j, kept, r.now.Add(skew))
+				}
+				for _, e := range l.ended {
+					next.keep(e)
+				}
+				next.sums, l = l.sums, next
+				r.now = r.now.Add(max(skew, 0))
+			}
+		}
+		sum := int64(0)
+		for id, ms := range ended {
+			e, ok := l.OfEnded(id)
+			// A clock that went back by a change of leader takes nothing back.
+			if !ok || e.Spent.Total() < ms || e.Spent.Total() > ms+500 {
+				t.Fatalf("%s: %d ms are accounted for, want %d", id, e.Spent.Total(), ms)
+			}
+			sum += e.Spent.Total()
+		}
+		for _, a := range l.Tallies("", "", time.Time{}) {
+			sum -= a.Spent.Total()
+		}
+		if sum != 0 {
+			t.Fatalf("the sums by class differ by %d ms", sum)
+		}
+	})
+}
+
+// What the ledger keeps is what was counted; where there are more causes than are kept, the sum
+// stays. What cannot be read is an error.
+func TestKeptAccounts(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var s Spent
+		for range rapid.IntRange(0, CauseCount).Draw(t, "causes") {
+			s[rapid.IntRange(0, CauseCount-1).Draw(t, "cause")] = int64(rapid.IntRange(0, 1<<40).Draw(t, "ms"))
+		}
+		got, err := parse(s.pack())
+		if err != nil || got.Total() != s.Total() {
+			t.Fatalf("%v came back as %v: %v", s, got, err)
+		}
+		for c := range got {
+			if got[c] != s[c] && got[c] != 0 && Cause(c) != Unknown {
+				t.Fatalf("%v came back as %v", s, got)
+			}
+		}
+	})
+	for _, text := range []string{"?", "AA", "//8B"} {
+		if _, err := parse(text); err == nil {
+			t.Errorf("%q can be read", text)
+		}
+	}
+}
+
+// The accounts that are kept of finished jobs are the last ones.
+func TestFinishedAccountsAreBounded(t *testing.T) {
+	l, now := newLog(), time.Unix(10_000, 0)
+	for i := range keptFinished + 50 {
+		j := newJob(i, 1, now)
+		l.Begin(j)
+		now = now.Add(time.Second)
+		l.Close(now, j)
+	}
+	_, first := l.OfEnded("job-000049")
+	_, last := l.OfEnded(fmt.Sprintf("job-%06d", keptFinished+49))
+	if len(l.ended) != keptFinished || len(l.byID) != keptFinished || first || !last {
+		t.Errorf("%d are kept, the 50th %v, the last %v", len(l.byID), first, last)
+	}
+	if got := l.Tallies("", "", now.Add(-9500*time.Millisecond)); len(got) != 1 || got[0].Jobs != 10 {
+		t.Errorf("of the last 9.5 s: %+v", got)
+	}
+}
+
+// BenchmarkLook is a look at as many jobs as machines, all of which are full.
+func BenchmarkLook(b *testing.B) {
+	for _, size := range []int{250, 1000, 5000} {
+		b.Run(fmt.Sprint(size), func(b *testing.B) {
+			r, l := newSite(), newLog()
+			for i := range size {
+				j := newJob(i, 3, r.now)
+				j.CPUs, j.Mem = 1, 1+float64(i%20)/100
+				m := r.machine(i)
+				r.start(m, j)
+				r.start(m, j)
+				l.Begin(j)
+			}
+			for b.Loop() {
+				r.now = r.now.Add(time.Second)
+				l.Look(r.now, r.View)
+			}
+		})
+	}
+}
--- a/internal/controller/workers/messages.go
+++ b/internal/controller/workers/messages.go
@@ -65,6 +65,7 @@
 	StateExited   = "exited"
 
 	WhyDone   = "done"
+	WhyHalted = "halted"
 	WhyError  = "error"
 	WhyNoRoom = "no_room"
 	WhyInUse  = "in_use"
--- a/internal/site/store/metrics.go
+++ b/internal/site/store/metrics.go
@@ -1,16 +1,14 @@
 package store
 
 import (
-	"bytes"
 	"fmt"
 	"log/slog"
 	"strings"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
-	"github.com/prometheus/common/expfmt"
 
-	"gullrudder/internal/wire/httpwire"
+	"gullrudder/internal/wire/scrape"
 )
 
 // Metrics are the figures of a store, in Prometheus' text form.
@@ -106,28 +104,5 @@
 
 // Serve answers GET /metrics at an address until the listener fails.
 func (m *Metrics) Serve(listen string, log *slog.Logger) error {
-	server := httpwire.NewServer(httpwire.ServerOptions{Public: listen, MaxConns: 16, Idle: 75 * time.Second, Slow: 10 * time.Second,
-		Handle: func(r *httpwire.Request) {
-			if r.Method != "GET" || r.Target != "/metrics" {
-				r.Reply(404, nil, 0)
-				return
-			}
-			families, err := m.registry.Gather()
-			var out bytes.Buffer
-			for _, f := range families {
-				if err == nil {
-					_, err = expfmt.MetricFamilyToText(&out, f)
-				}
-			}
-			if err != nil {
-				log.Error("the metrics cannot be written", "error", err)
-				r.Reply(503, nil, time.Second)
-				return
-			}
-			r.ReplyText(200, string(expfmt.NewFormat(expfmt.TypeTextPlain)), out.Bytes())
-		}})
-	if err := server.Run(); err != nil {
-		return fmt.Errorf("serve metrics at %s: %w", listen, err)
-	}
-	return nil
+	return scrape.Serve(m.registry, listen, log)
 }
