Machines that died with an earlier leader, and zones that are cut off, are no room to come

Machines of the old roster that were dead kept others from being rented until they had been rented for minutes; and in a zone that was cut off for 95 s some 340 machines were rented again, counted as coming all the time, and paid for.

Change: what is on the roster and silent is full until its lease ends, then lost; a zone none of whose machines is heard while others are counts as cut: nothing there is counted on, and one machine is rented every 20 s to learn of its return.

--- a/internal/controller/rental/back.go
+++ b/internal/controller/rental/back.go
@@ -9,6 +9,9 @@
 	"gullrudder/internal/controller/workers"
 )
 
+// patience is how long after the end of its lease a silent machine is waited for.
+const patience = 15 * time.Second
+
 // minCharge is what the cloud charges at least for a machine that is deleted.
 const minCharge = time.Minute
 
@@ -63,14 +66,15 @@
 		switch {
 		case h.State == fleet.Failed:
 			reason = "failed"
-		case m == nil || !m.Up:
+		case m == nil:
 			if t != nil && now.Sub(h.Born) > 5*t.Boot()/2+30*time.Second && now.Sub(d.since) > d.fleet.Lease() {
 				reason = "never up"
 			}
 		case d.fleet.Expired(now, m):
-			if now.Sub(m.Answered) > d.fleet.Lease()+15*time.Second {
+			if now.Sub(m.Answered) > d.fleet.Lease()+patience {
 				reason = "lost"
 			}
+		case !m.Up: // on the roster of an earlier leader: its tasks are not known yet
 		case m.Draining.Leaving() && len(m.Attempts) == 0:
 			reason = string(m.Draining)
 		case m.Draining != workers.InUse || len(m.Attempts) > 0 || d.paidFor(now, id) > 0:
--- a/internal/controller/rental/desk.go
+++ b/internal/controller/rental/desk.go
@@ -35,6 +35,7 @@
 	sized    time.Time
 	nextSize time.Time
 	nextThin time.Time
+	zones    map[string]*zone
 }
 
 // World is what a desk sees of its neighbours.
@@ -55,7 +56,7 @@
 // NewDesk makes the desk of a new leadership.
 func NewDesk(w World) *Desk {
 	d := &Desk{cfg: w.Platform, opt: w.Options, teams: map[string]config.Team{}, log: w.Log, box: w.Box, token: w.Token, since: w.Since,
-		first: w.First, cloud: w.Cloud, fleet: w.Fleet, planner: w.Planner, placer: w.Placer}
+		first: w.First, cloud: w.Cloud, fleet: w.Fleet, planner: w.Planner, placer: w.Placer, zones: map[string]*zone{}}
 	for _, t := range w.Platform.Teams {
 		d.teams[t.Name] = t
 	}
@@ -117,6 +118,7 @@
 // size rents what the waiting work justifies and gives back what stands idle.
 func (d *Desk) size(now time.Time) {
 	order := d.placer.Order(now)
+	d.lookAtZones(now)
 	d.giveBack(now, order)
 	// What an earlier leader has rented last is not listed yet; only where the ledger
 	// holds nothing at all is there no earlier leader.
@@ -132,7 +134,10 @@
 	f := d.forecast(now)
 	work := d.workAhead(order)
 	d.shed(now, opts, work)
-	asked := map[fleet.Kind]int{}
+	asked, most := map[fleet.Kind]int{}, map[fleet.Kind]int{}
+	for _, o := range opts {
+		most[o.kind] = d.mayAsk(now, o.kind)
+	}
 	for _, e := range order {
 		j := e.Job
 		if j.Waiting() == 0 {
@@ -146,13 +151,17 @@
 			if want <= 0 {
 				break
 			}
-			if per == 0 || !place.KindAllowed(j, o.kind) || !d.cloud.Askable(now, o.kind) {
+			if per == 0 || !place.KindAllowed(j, o.kind) || most[o.kind] == 0 {
 				continue
 			}
 			worth := d.worth(o.price, cheapest)
 			total := work.within(worth)
-			for want > 0 && asked[o.kind] < d.cloud.MostAsked() && (lacking > 0 || total > f.cpus*worth) {
+			for want > 0 && asked[o.kind] < most[o.kind] && (lacking > 0 || total > f.cpus*worth) {
 				asked[o.kind]++
+				if d.dark(o.kind.Zone) {
+					d.zones[o.kind.Zone].probe = now
+					break // to learn of its return; no room to count on
+				}
 				f.add(o.kind, o.typ)
 				lacking -= per
 				want -= f.take(len(f.open)-1, j, min(per, want))
--- a/internal/controller/rental/desk_test.go
+++ b/internal/controller/rental/desk_test.go
@@ -144,6 +144,45 @@
 	}
 }
 
+// Machines that an earlier leader had and that died with it are neither room nor coming: what waits
+// is rented for once their leases have ended, and they are returned, which frees their places. They
+// were taken for booting until they had been rented for minutes.
+func TestMachinesThatDiedWithAnEarlierLeader(t *testing.T) {
+	now := time.Unix(10_000, 0)
+	d := newDesk(now)
+	for i := range 6 {
+		id := fmt.Sprintf("vm-%06d", i)
+		d.cloud.Hosts[id] = &fleet.Host{ID: id, Kind: fleet.Kind{Type: "large", Zone: "a", Spot: true}, Born: now.Add(-time.Minute), State: fleet.Running}
+		m := d.fleet.Machine(id)
+		m.Rostered, m.Answered = true, now // when the leadership began
+	}
+	d.addJob(now, 2, 96, 1)
+	asked := func() int {
+		d.cloud.Tick(now, d.box)
+		n := 0
+		for _, c := range d.box.Take() {
+			if c.Path == "/hosts" {
+				n += c.Body.(map[string]any)["how_many"].(int)
+			}
+		}
+		return n
+	}
+	if d.size(now); asked() > 0 {
+		t.Error("rents for work that may still run on machines that are not accounted for")
+	}
+	now = now.Add(d.fleet.Lease() + time.Second)
+	if d.size(now); asked() == 0 {
+		t.Error("takes machines that are gone for room that is coming")
+	}
+	now = now.Add(patience)
+	d.size(now)
+	for id, h := range d.cloud.Hosts {
+		if !h.Deleting {
+			t.Errorf("%s is not returned", id)
+		}
+	}
+}
+
 // loaded is a fleet under load: every machine full but for a part of them, and jobs that wait.
 func loaded(machines, waiting int) (*room, time.Time) {
 	now := time.Unix(10_000, 0)
--- a/internal/controller/rental/forecast.go
+++ b/internal/controller/rental/forecast.go
@@ -35,11 +35,17 @@
 			continue
 		}
 		m := d.fleet.Machines[id]
-		if m == nil || !m.Up {
+		switch {
+		case m == nil && !d.dark(h.Kind.Zone):
 			f.add(h.Kind, t)
-			continue
-		}
-		if m.Draining == workers.InUse && !d.fleet.Expired(now, m) {
+		case m == nil:
+		case d.fleet.Expired(now, m) || m.Draining != workers.InUse:
+			// Also one that an earlier leader had: three hundred that had died with it were
+			// taken for booting once, for a minute and a half.
+		case !m.Up:
+			f.add(h.Kind, t) // it has said nothing yet: taken for full
+			f.open[len(f.open)-1].free = workers.Room{}
+		default:
 			f.add(h.Kind, t)
 			f.open[len(f.open)-1].free = m.Free()
 		}
--- a/internal/controller/rental/room.go
+++ b/internal/controller/rental/room.go
@@ -17,8 +17,9 @@
 func (d *Desk) Room(now time.Time) plan.Room {
 	r := plan.Room{Startable: func(j *jobs.Job) int { return place.TeamRoom(j, d.teams[j.Team], d.fleet.Team(j.Team)) }}
 	held := map[fleet.Kind]int{}
-	for _, h := range d.cloud.Hosts {
-		if t := d.cloud.Types[h.Kind.Type]; t != nil && !h.Deleting {
+	for id, h := range d.cloud.Hosts {
+		m := d.fleet.Machines[id]
+		if t := d.cloud.Types[h.Kind.Type]; t != nil && !h.Deleting && (m == nil && !d.dark(h.Kind.Zone) || m != nil && !d.fleet.Expired(now, m)) {
 			r.CPUs += t.CPUs
 			held[h.Kind]++
 		}
@@ -29,7 +30,7 @@
 			for _, spot := range []bool{false, true} {
 				// Capacity is not published: a kind that was not refused lately is
 				// taken to have as many again, or a few.
-				if k := fleet.KindOf(t, z, spot); d.cloud.Askable(now, k) {
+				if k := fleet.KindOf(t, z, spot); d.cloud.Askable(now, k) && !d.dark(z) {
 					r.Growth += float64(max(Growth, held[k])) * t.CPUs
 					r.Boot = max(r.Boot, t.Boot())
 				}
--- a/internal/controller/timeline/look.go
+++ b/internal/controller/timeline/look.go
@@ -46,7 +46,7 @@
 	s := &seen{View: v, up: v.Fleet.Up(), shapes: map[shape]room{}}
 	kinds := map[fleet.Kind]bool{}
 	for id, h := range v.Cloud.Hosts {
-		if m := v.Fleet.Machines[id]; !h.Deleting && h.State != fleet.Failed && (m == nil || !m.Up) && !kinds[h.Kind] {
+		if m := v.Fleet.Machines[id]; !h.Deleting && h.State != fleet.Failed && m == nil && !kinds[h.Kind] {
 			kinds[h.Kind] = true
 			s.coming = append(s.coming, h.Kind)
 		}
