--- a/internal/controller/place/placer.go
+++ b/internal/controller/place/placer.go
@@ -145,11 +145,6 @@
 	m.HeldFor = j
 }
 
-// heldShare is how much of the fleet may stand idle to be held, besides what is held for the oldest of
-// the aged and for services: machines from which enough has come free start their task at once, and
-// the next is held. Without a bound every machine was held at times, and a tenth of the fleet idle.
-const heldShare = 0.03
-
 // hold keeps free room for the jobs that go first but fit nowhere yet, on the machines
 // with the most room, so that smaller tasks do not take it bit by bit.
 func (p *Placer) hold(now time.Time) {
@@ -159,7 +154,6 @@
 	p.held = p.held[:0]
 	var free []*workers.Machine // not held for a job, the most room first
 	rooms := newRoomFor()
-	idle := 0.0 // CPUs that stand idle to be held: they are worth little if they are many
 	for _, e := range p.order {
 		j := e.Job
 		if !e.Hold || j.Waiting() == 0 || now.Before(j.NotBefore) {
@@ -171,9 +165,6 @@
 		}
 		if free == nil {
 			free = p.byRoom()
-			for _, m := range free {
-				idle -= heldShare * m.CPUs
-			}
 		}
 		if j.Gang {
 			want -= p.holdWhole(j, free, want)
@@ -185,9 +176,8 @@
 			left := free[:0]
 			before := want
 			for _, m := range free {
-				if want > 0 && m.HeldFor == nil && (e.First || j.Service || idle < 0) && Usable(j, m) && m.Fits(j) == 0 && m.CPUs >= j.CPUs && m.Mem >= j.Mem {
+				if want > 0 && m.HeldFor == nil && Usable(j, m) && m.Fits(j) == 0 && m.CPUs >= j.CPUs && m.Mem >= j.Mem {
 					p.holdFor(m, j)
-					idle += m.CPUs - m.UsedCPU
 					want--
 				}
 				if m.HeldFor == nil {
