--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -31,6 +31,7 @@
 	Class  string
 	Within time.Duration
 	Share  float64
+	Times  float64 // of its deadline, where that is the aim
 }
 
 // Platform is the checked form of the platform's settings file.
@@ -85,6 +86,7 @@
 			Class   string  `json:"class"`
 			WithinS float64 `json:"within_s"`
 			Share   float64 `json:"share"`
+			Times   float64 `json:"times"`
 		} `json:"objectives"`
 		Workers struct {
 			ReportS float64 `json:"report_s"`
@@ -151,7 +153,7 @@
 		p.Teams = append(p.Teams, Team{t.Name, t.CPUs, t.CPUsMax, t.GPUs, t.GPUsMax})
 	}
 	for _, o := range c.Objectives {
-		p.Objectives = append(p.Objectives, Objective{o.Kind, o.Class, Seconds(o.WithinS), o.Share})
+		p.Objectives = append(p.Objectives, Objective{o.Kind, o.Class, Seconds(o.WithinS), o.Share, o.Times})
 	}
 	return p, p.check()
 }
--- a/internal/config/options.go
+++ b/internal/config/options.go
@@ -22,7 +22,8 @@
 	AgeBound    time.Duration // a best-effort job older than this goes before younger ones
 	PayoffStep  time.Duration // lateness that costs a job one payoff step
 	IdleAfter   time.Duration // an idle machine is returned after this
-	Backlog     time.Duration // work waiting longer than this justifies dearer machines
+	Backlog     time.Duration // work that lasts a third of this justifies a machine of the cheapest kind
+	Thrift      float64       // how much more money weighs against fewer missed aims
 	LeaderLease time.Duration // life of the leader's key without renewal
 	Promise     time.Duration // length of a promise between controllers
 	AgedShare   float64       // share of the fleet that is kept for what has waited past the age bound
@@ -40,6 +41,7 @@
 		Term: 15 * time.Second, SubmitLease: 15 * time.Second, TeamShare: 4,
 		AgeBound: 420 * time.Second, PayoffStep: 30 * time.Second,
 		IdleAfter: 12 * time.Second, Backlog: 150 * time.Second,
+		Thrift:      0.4,
 		LeaderLease: 1200 * time.Millisecond, Promise: 1200 * time.Millisecond,
 		AgedShare: 0.05, EstimateError: 2,
 		SealAfter: time.Minute, SealJobs: 128, MergeRuns: 8,
@@ -86,6 +88,7 @@
 		"payoff-step":    durationField(time.Second, time.Hour, &o.PayoffStep),
 		"idle-after":     durationField(time.Second, time.Hour, &o.IdleAfter),
 		"backlog":        durationField(time.Second, time.Hour, &o.Backlog),
+		"thrift":         numberField(0, 1000, &o.Thrift),
 		"leader-lease":   durationField(time.Second, time.Minute, &o.LeaderLease),
 		"promise":        durationField(time.Second, time.Minute, &o.Promise),
 		"aged-share":     numberField(0, 0.9, &o.AgedShare),
--- a/internal/controller/book/book.go
+++ b/internal/controller/book/book.go
@@ -35,6 +35,7 @@
 	fleet   *workers.Fleet
 	times   *timeline.Log
 	changed func() // the order of the jobs is not what it was
+	done    func(time.Time, *jobs.Job)
 
 	Jobs     map[string]*jobs.Job // unfinished; for looking only
 	finals   map[string]Final     // finished jobs that are in the live pages
@@ -56,13 +57,16 @@
 
 // New makes an empty book.
 func New(w World) *Book {
-	return &Book{cfg: w.Platform, opt: w.Options, log: w.Log, ledger: w.Ledger, fleet: w.Fleet, times: w.Times, changed: func() {},
+	return &Book{cfg: w.Platform, opt: w.Options, log: w.Log, ledger: w.Ledger, fleet: w.Fleet, times: w.Times, changed: func() {}, done: func(time.Time, *jobs.Job) {},
 		Jobs: map[string]*jobs.Job{}, finals: map[string]Final{}}
 }
 
 // OnChange names who is to know when the order of the jobs is not what it was.
 func (b *Book) OnChange(f func()) { b.changed = f }
 
+// OnDone names who is to know of a job that is done.
+func (b *Book) OnDone(f func(now time.Time, j *jobs.Job)) { b.done = f }
+
 // Find is an unfinished job, or nil.
 func (b *Book) Find(id string) *jobs.Job { return b.Jobs[id] }
 
@@ -140,6 +144,7 @@
 		}
 		j.State = jobs.Done
 		b.times.Close(now, j)
+		b.done(now, j)
 		b.retire(now, j)
 		b.log.Info("job done", "job", j.ID, "after", now.Sub(j.Submitted).Round(time.Millisecond))
 	})
--- a/internal/controller/node/node.go
+++ b/internal/controller/node/node.go
@@ -307,6 +307,7 @@
 		Planner: l.planner, Placer: l.placer, Rental: l.rental, Takeover: l.takeover, Times: l.times,
 		Acting: func() bool { return n.lead == l && n.acting }, Answers: &n.out, Box: &n.box, Log: n.log})
 	l.book.OnChange(l.placer.Changed)
+	l.book.OnDone(l.rental.Ended)
 	l.settings.OnChange(func(opt config.Options) {
 		l.planner.Tune(opt)
 		l.book.Tune(opt)
--- /dev/null
+++ b/internal/controller/rental/dearer.go
@@ -0,0 +1,229 @@
+package rental
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"gullrudder/internal/controller/fleet"
+	"gullrudder/internal/controller/place"
+	"gullrudder/internal/controller/plan"
+	"gullrudder/internal/controller/workers"
+)
+
+const (
+	// dear is from how many times the cheapest price on a kind has to be worth it by the aims.
+	dear = 1.5
+	// mostWeighed bounds the jobs of a forecast: of more, every so many stands for its neighbours.
+	mostWeighed = 300
+	// grid is to how many seconds the time is rounded at which booting machines begin to serve.
+	grid = 5
+	// overdue is when a machine is expected whose usual boot time is over.
+	overdue = 15 * time.Second
+)
+
+// dearer weighs the kinds that are dearer than the cheapest by what they save: how many of each are
+// worth renting now. Machines of such kinds that are there and not worth their price any more are
+// emptied, and used again before others are rented. A kind that is not in the answer is not weighed:
+// it is cheap, or the platform states no aims.
+func (d *Desk) dearer(now time.Time, opts []option, order []plan.Entry, work ahead) map[fleet.Kind]int {
+	if len(d.steps) == 0 {
+		d.shed(now, opts, work)
+		return nil
+	}
+	pays := map[fleet.Kind]int{}
+	o := d.outlook(now, order)
+	serving, resting := d.dearMachines(now, opts)
+	for i := len(opts) - 1; i >= 0 && ratio(opts[i].price, opts[0].price) > dear; i-- {
+		list := serving[opts[i].kind]
+		if n := o.spares(offerOf(opts[i], len(list))); n > 0 {
+			for _, m := range list[:n] {
+				m.Draining = workers.Surplus
+			}
+			o.add(part{0, -float64(n) * opts[i].typ.CPUs})
+		}
+	}
+	for _, opt := range opts {
+		if ratio(opt.price, opts[0].price) <= dear {
+			continue
+		}
+		pays[opt.kind] = 0
+		if len(o.queue) == 0 {
+			continue
+		}
+		again := resting[opt.kind]
+		may := 0
+		if d.mayAsk(now, opt.kind) > 0 && !d.dark(opt.kind.Zone) {
+			may = d.cloud.MostAsked()
+		}
+		f := offerOf(opt, len(again))
+		if len(again) > 0 {
+			f.boot = 0
+		} else {
+			f.most = may
+		}
+		if f.most == 0 {
+			continue
+		}
+		n, _ := o.mostPays(f)
+		o.add(part{f.boot, float64(n) * f.cpus})
+		if len(again) > 0 {
+			for _, m := range again[:n] {
+				m.Draining = workers.InUse
+			}
+			continue
+		}
+		pays[opt.kind] = n
+	}
+	return pays
+}
+
+// offerOf is so many machines of an option.
+func offerOf(o option, most int) offer {
+	price := o.typ.Price
+	if o.kind.Spot {
+		price = o.typ.SpotPrice
+	}
+	return offer{cpus: o.typ.CPUs, money: price / 3600, boot: o.typ.Boot().Seconds(), most: most}
+}
+
+// dearMachines lists the machines of dear kinds that are up, the emptiest first: those in use that
+// have been paid for their first minute, and those that are being emptied as surplus.
+func (d *Desk) dearMachines(now time.Time, opts []option) (serving, resting map[fleet.Kind][]*workers.Machine) {
+	serving, resting = map[fleet.Kind][]*workers.Machine{}, map[fleet.Kind][]*workers.Machine{}
+	isDear := map[fleet.Kind]bool{}
+	for _, o := range opts {
+		isDear[o.kind] = ratio(o.price, opts[0].price) > dear
+	}
+	for _, m := range d.fleet.Up() {
+		k := place.Kind(m)
+		switch {
+		case !isDear[k] || d.fleet.Expired(now, m):
+		case m.Draining == workers.Surplus:
+			resting[k] = append(resting[k], m)
+		case m.Draining == workers.InUse && d.paidFor(now, m.ID) == 0:
+			serving[k] = append(serving[k], m)
+		}
+	}
+	for k := range resting { // those with the most on them are used again first
+		slices.Reverse(resting[k])
+	}
+	return serving, resting
+}
+
+// add takes a part into the fleet as it is and is coming.
+func (o *outlook) add(p part) {
+	if p.cpus == 0 {
+		return
+	}
+	i, _ := slices.BinarySearchFunc(o.parts, p, func(a, b part) int { return cmp.Compare(a.at, b.at) })
+	o.parts = slices.Insert(o.parts, i, p)
+}
+
+// outlook gathers what a forecast needs.
+func (d *Desk) outlook(now time.Time, order []plan.Entry) *outlook {
+	o := &outlook{steps: d.steps, records: d.records, thrift: d.opt.Thrift}
+	byTime := map[int]float64{}
+	for id, h := range d.cloud.Hosts {
+		t := d.cloud.Types[h.Kind.Type]
+		if t == nil || h.Deleting || h.State == fleet.Failed {
+			continue
+		}
+		m := d.fleet.Machines[id]
+		switch {
+		case m == nil && d.dark(h.Kind.Zone), m != nil && d.fleet.Expired(now, m):
+			continue
+		case m == nil:
+			wait := t.Boot() - now.Sub(h.Born)
+			if wait <= 0 {
+				wait = overdue
+			}
+			byTime[int(wait.Seconds())/grid+1] += t.CPUs
+		case m.Draining == workers.InUse:
+			byTime[0] += t.CPUs
+		}
+		price := t.Price
+		if h.Kind.Spot {
+			price = t.SpotPrice
+		}
+		o.spend += price / 3600
+	}
+	for at, cpus := range byTime {
+		o.parts = append(o.parts, part{float64(at * grid), cpus})
+	}
+	slices.SortFunc(o.parts, func(a, b part) int { return cmp.Compare(a.at, b.at) })
+	d.weigh(now, order, o)
+	return o
+}
+
+// weigh fills in the queue and what arrives. A task that waits starts when what waits before it has
+// had its room: what runs already only hands that on.
+func (d *Desk) weigh(now time.Time, order []plan.Entry, o *outlook) {
+	count, total := 0, 0.0
+	waits := func(e *plan.Entry) float64 {
+		if e.Job.Service {
+			return 0
+		}
+		return min(float64(e.Job.Waiting())*e.PerTask.Seconds()*max(e.Job.CPUs, 0.1), e.Work)
+	}
+	for i := range order {
+		if w := waits(&order[i]); w > 0 {
+			count++
+			total += w
+		}
+	}
+	every := 1 + count/mostWeighed
+	ahead, seen := 0.0, 0
+	teams, latest := map[string]float64{}, map[string]*standpoint{}
+	for i := range order {
+		e := &order[i]
+		w := waits(e)
+		if w <= 0 {
+			continue
+		}
+		ahead += w
+		teams[e.Job.Team] += w
+		l := latest[e.Job.Class]
+		if l == nil {
+			l = &standpoint{}
+			latest[e.Job.Class] = l
+		}
+		l.see(now.Sub(e.Job.Submitted), ahead/total)
+		if seen++; seen%every != 0 {
+			continue
+		}
+		q := waiting{class: e.Job.Class, age: now.Sub(e.Job.Submitted), perTask: e.PerTask, deadline: e.Job.Deadline, ahead: ahead, weight: float64(every)}
+		if limit := d.teams[e.Job.Team].CPULimit; limit > 0 {
+			q.bound = teams[e.Job.Team] / limit
+		}
+		o.queue = append(o.queue, q)
+	}
+	for team, w := range teams {
+		if limit := d.teams[team].CPULimit; limit > 0 {
+			w = min(w, limit*lookAhead.Seconds()/2)
+		}
+		o.backlog += w
+	}
+	for _, f := range d.flows {
+		f.decay(now)
+		load, bound := f.work, 0.0
+		if limit := d.teams[f.team].CPULimit; limit > 0 {
+			load, bound = min(load, limit), teams[f.team]/limit
+		}
+		o.load += load
+		a := arrival{class: f.class, rate: f.jobs, perTask: f.perTask, deadline: f.deadline, bound: bound}
+		if l := latest[f.class]; l != nil {
+			a.place = l.sum / l.weight
+		}
+		o.to = append(o.to, a)
+	}
+}
+
+// standpoint is where in the queue a new job of a class would stand: where those stand that came last.
+type standpoint struct{ sum, weight float64 }
+
+func (p *standpoint) see(age time.Duration, at float64) {
+	w := 1 / (age.Seconds() + 5)
+	p.sum += w * at
+	p.weight += w
+}
--- a/internal/controller/rental/desk.go
+++ b/internal/controller/rental/desk.go
@@ -11,6 +11,7 @@
 
 	"gullrudder/internal/config"
 	"gullrudder/internal/controller/fleet"
+	"gullrudder/internal/controller/jobs"
 	"gullrudder/internal/controller/place"
 	"gullrudder/internal/controller/plan"
 	"gullrudder/internal/controller/workers"
@@ -36,6 +37,10 @@
 	nextSize time.Time
 	nextThin time.Time
 	zones    map[string]*zone
+	steps    []step
+	records  []record // by step
+	recorded time.Time
+	flows    map[[2]string]*flow
 }
 
 // World is what a desk sees of its neighbours.
@@ -56,7 +61,9 @@
 // NewDesk makes the desk of a new leadership.
 func NewDesk(w World) *Desk {
 	d := &Desk{cfg: w.Platform, opt: w.Options, teams: map[string]config.Team{}, log: w.Log, box: w.Box, token: w.Token, since: w.Since,
-		first: w.First, cloud: w.Cloud, fleet: w.Fleet, planner: w.Planner, placer: w.Placer, zones: map[string]*zone{}}
+		first: w.First, cloud: w.Cloud, fleet: w.Fleet, planner: w.Planner, placer: w.Placer, zones: map[string]*zone{}, steps: stepsOf(w.Platform.Objectives),
+		flows: map[[2]string]*flow{}, recorded: w.Since}
+	d.records = make([]record, len(d.steps))
 	for _, t := range w.Platform.Teams {
 		d.teams[t.Name] = t
 	}
@@ -75,8 +82,9 @@
 	}
 }
 
-// Soon has what new work needs asked for soon: machines take long to boot.
-func (d *Desk) Soon() {
+// Accepted has what a new job needs asked for soon: machines take long to boot.
+func (d *Desk) Accepted(now time.Time, j *jobs.Job) {
+	d.took(now, j)
 	if soon := d.sized.Add(300 * time.Millisecond); soon.Before(d.nextSize) {
 		d.nextSize = soon
 	}
@@ -133,7 +141,7 @@
 	// Room that is there or coming, per machine; the waiting tasks are laid into it.
 	f := d.forecast(now)
 	work := d.workAhead(order)
-	d.shed(now, opts, work)
+	pays := d.dearer(now, opts, order, work)
 	asked, most := map[fleet.Kind]int{}, map[fleet.Kind]int{}
 	for _, o := range opts {
 		most[o.kind] = d.mayAsk(now, o.kind)
@@ -156,7 +164,8 @@
 			}
 			worth := d.worth(o.price, cheapest)
 			total := work.within(worth)
-			for want > 0 && asked[o.kind] < most[o.kind] && (lacking > 0 || total > f.cpus*worth) {
+			pay, weighed := pays[o.kind]
+			for want > 0 && asked[o.kind] < most[o.kind] && (lacking > 0 || weighed && asked[o.kind] < pay || !weighed && total > f.cpus*worth) {
 				asked[o.kind]++
 				if d.dark(o.kind.Zone) {
 					d.zones[o.kind.Zone].probe = now
@@ -209,7 +218,15 @@
 }
 
 // worth is how long, in seconds, the work at hand must last for a kind to be rented: the
-// dearer it is, the longer.
+// dearer it is, the longer. Where the platform states aims, that is for the cheap kinds only.
 func (d *Desk) worth(price, cheapest float64) float64 {
-	return d.opt.Backlog.Seconds() * price / cheapest / 3
+	return d.opt.Backlog.Seconds() * ratio(price, cheapest) / 3
+}
+
+// ratio is how many times as dear a price is; what costs nothing is not dearer than anything.
+func ratio(price, cheapest float64) float64 {
+	if cheapest <= 0 {
+		return 1
+	}
+	return price / cheapest
 }
--- a/internal/controller/requests/desk.go
+++ b/internal/controller/requests/desk.go
@@ -199,7 +199,7 @@
 		if ok && j.State == jobs.Pending {
 			j.State = jobs.Accepted
 			d.placer.Changed()
-			d.rental.Soon()
+			d.rental.Accepted(now, j)
 			d.log.Info("job accepted", "job", j.ID, "class", j.Class, "tasks", j.Tasks, "label", label(j.Guaranteed))
 		}
 		if answered {
