--- a/internal/controller/place/placer.go
+++ b/internal/controller/place/placer.go
@@ -267,6 +267,38 @@
 
 func compareIDs(a, b *workers.Machine) int { return cmp.Compare(a.ID, b.ID) }
 
+// noLimit is more than any fleet has.
+const noLimit = 1e12
+
+// Wants is, by entry of an order, how many of its tasks need room now. What a team's limit still
+// allows is shared by its jobs, the first in the order first: each for itself would want all of it.
+func (p *Placer) Wants(order []plan.Entry) []int {
+	left := map[string]workers.Room{}
+	list := make([]int, len(order))
+	for i := range order {
+		j := order[i].Job
+		list[i] = j.Waiting()
+		t := p.teams[j.Team]
+		if list[i] == 0 || t.CPULimit <= 0 && t.CardsLimit <= 0 {
+			continue
+		}
+		room, ok := left[j.Team]
+		if !ok {
+			used := p.fleet.Team(j.Team)
+			room = workers.Room{CPUs: noLimit, Cards: noLimit, Mem: noLimit}
+			if t.CPULimit > 0 {
+				room.CPUs = t.CPULimit - used.CPUs
+			}
+			if t.CardsLimit > 0 {
+				room.Cards = t.CardsLimit - used.Cards
+			}
+		}
+		list[i] = min(list[i], room.Fits(j))
+		left[j.Team] = room.Take(j, list[i])
+	}
+	return list
+}
+
 // Wanted is how many tasks of the job need room now: those that wait, less what the
 // team's limit forbids.
 func (p *Placer) Wanted(j *jobs.Job) int {
--- a/internal/controller/rental/back.go
+++ b/internal/controller/rental/back.go
@@ -53,8 +53,8 @@
 func (d *Desk) giveBack(now time.Time, order []plan.Entry) {
 	why := map[string][]string{}
 	waiting := 0
-	for _, e := range order {
-		waiting += d.placer.Wanted(e.Job)
+	for _, n := range d.placer.Wants(order) {
+		waiting += n
 	}
 	for id, h := range d.cloud.Hosts {
 		if h.Deleting {
--- a/internal/controller/rental/dearer.go
+++ b/internal/controller/rental/dearer.go
@@ -205,13 +205,13 @@
 		o.backlog += w
 	}
 	for _, f := range d.flows {
-		f.decay(now)
-		load, bound := f.work, 0.0
+		rate := f.rate(now)
+		load, bound := rate.work, 0.0
 		if limit := d.teams[f.team].CPULimit; limit > 0 {
 			load, bound = min(load, limit), teams[f.team]/limit
 		}
 		o.load += load
-		a := arrival{class: f.class, rate: f.jobs, perTask: f.perTask, deadline: f.deadline, bound: bound}
+		a := arrival{class: f.class, rate: rate.jobs, perTask: f.perTask, deadline: f.deadline, bound: bound}
 		if l := latest[f.class]; l != nil {
 			a.place = l.sum / l.weight
 		}
--- a/internal/controller/rental/desk.go
+++ b/internal/controller/rental/desk.go
@@ -146,12 +146,13 @@
 	for _, o := range opts {
 		most[o.kind] = d.mayAsk(now, o.kind)
 	}
-	for _, e := range order {
+	wants := d.placer.Wants(order)
+	for i, e := range order {
 		j := e.Job
 		if j.Waiting() == 0 {
 			continue
 		}
-		want := d.placer.Wanted(j)
+		want := wants[i]
 		want -= f.lay(j, want)
 		lacking := needed(j) - f.capacity(j)
 		for _, o := range opts {
--- a/internal/controller/rental/thin.go
+++ b/internal/controller/rental/thin.go
@@ -31,8 +31,9 @@
 			slack += (1-spare)*m.CPUs - m.UsedCPU
 		}
 	}
-	for _, e := range d.placer.Order(now) {
-		slack -= float64(d.placer.Wanted(e.Job)) * e.Job.CPUs
+	order := d.placer.Order(now)
+	for i, want := range d.placer.Wants(order) {
+		slack -= float64(want) * order[i].Job.CPUs
 	}
 	if slack <= 0 {
 		return
--- a/internal/controller/rental/worth.go
+++ b/internal/controller/rental/worth.go
@@ -68,21 +68,55 @@
 // record is how a step was kept of late; what is older than lookAhead counts ever less.
 type record struct{ jobs, missed float64 }
 
-// flow is what arrives of a class of a team, per second, of late.
+// flow is what arrives of a class of a team: the last few spans, the present one first.
 type flow struct {
 	class, team string
-	jobs, work  float64 // a second
+	spans       [keptSpans + 1]arrived
+	at          time.Time // when the present span began
+	whole       int       // how many of the others are known
 	perTask     time.Duration
 	deadline    time.Duration
-	at          time.Time
 }
 
-// arrivalSpan is over how long arrivals are averaged.
-const arrivalSpan = time.Minute
+type arrived struct{ jobs, work float64 }
 
-func (f *flow) decay(now time.Time) {
-	k := math.Exp(-now.Sub(f.at).Seconds() / arrivalSpan.Seconds())
-	f.jobs, f.work, f.at = f.jobs*k, f.work*k, now
+const (
+	// arrivalSpan is over how long arrivals are gathered, keptSpans how many such spans count.
+	arrivalSpan = 10 * time.Second
+	keptSpans   = 6
+)
+
+// follow moves the spans on.
+func (f *flow) follow(now time.Time) {
+	for n := 0; now.Sub(f.at) >= arrivalSpan; n++ {
+		if n > keptSpans {
+			f.at = now
+			break
+		}
+		copy(f.spans[1:], f.spans[:])
+		f.spans[0] = arrived{}
+		f.at = f.at.Add(arrivalSpan)
+		f.whole = min(f.whole+1, keptSpans)
+	}
+}
+
+// rate is what arrives a second of late, the span with the most left out: what waits at a start, or
+// comes at once, is in the queue, and not what goes on to come.
+func (f *flow) rate(now time.Time) arrived {
+	f.follow(now)
+	if f.whole < 2 {
+		return arrived{}
+	}
+	var sum, most arrived
+	for _, s := range f.spans[1 : f.whole+1] {
+		sum.jobs += s.jobs
+		sum.work += s.work
+		if s.work > most.work {
+			most = s
+		}
+	}
+	k := 1 / (float64(f.whole-1) * arrivalSpan.Seconds())
+	return arrived{(sum.jobs - most.jobs) * k, (sum.work - most.work) * k}
 }
 
 // waiting is a job of the queue, as far as the forecast goes.
@@ -333,10 +367,10 @@
 		f = &flow{class: j.Class, team: j.Team, at: now}
 		d.flows[k] = f
 	}
-	f.decay(now)
+	f.follow(now)
 	perTask := d.planner.PerTask(j)
-	f.jobs += 1 / arrivalSpan.Seconds()
-	f.work += d.planner.Work(j, now) / arrivalSpan.Seconds()
+	f.spans[0].jobs++
+	f.spans[0].work += d.planner.Work(j, now)
 	if f.perTask == 0 {
 		f.perTask, f.deadline = perTask, j.Deadline
 	}
