A leader that the state service does not answer hands over at once; gullbench leaders

Need: a leader cut from the state service alone kept others from leading until its lease and their promises were over, and accepted nothing meanwhile.

Change: greetings carry the leader's doubt; who is asked finds out whether the state service answers it. Where it does and two renewals have failed, the leader ends, says that nobody relies on promises to its token any more, and names the lease to end; a promise to a later leader stays. Refusals for want of a leader say when a promise is over at the earliest. `gullbench leaders` plays failures by cause.

--- /dev/null
+++ b/cmd/gullbench/leaders.go
@@ -0,0 +1,71 @@
+package main
+
+import (
+	"fmt"
+	"log/slog"
+	"slices"
+	"sync"
+	"text/tabwriter"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"gullrudder/internal/config"
+	"gullrudder/internal/standin"
+)
+
+func leadersCommand() *cobra.Command {
+	var failures, jobs int
+	var seed uint64
+	cmd := &cobra.Command{Use: "leaders", Short: "How long nobody acts after a failure of the leader, by cause, in virtual time", Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			names := standin.New(0, leadersWorld(), slog.New(slog.DiscardHandler)).Failures()
+			slices.Sort(names)
+			each := max(failures/len(names), 1)
+			gaps, broken := make([]standin.Gap, each*len(names)), make([][]string, each*len(names))
+			var wait sync.WaitGroup
+			slots := make(chan struct{}, jobs)
+			for i := range gaps {
+				wait.Add(1)
+				slots <- struct{}{}
+				go func() {
+					defer func() { <-slots; wait.Done() }()
+					w := standin.New(seed+uint64(i), leadersWorld(), slog.New(slog.DiscardHandler))
+					gaps[i] = w.FailLeader(names[i/each], 40*time.Second)
+					broken[i] = w.Broken
+				}()
+			}
+			wait.Wait()
+			out := tabwriter.NewWriter(cmd.OutOrStdout(), 0, 0, 2, ' ', 0)
+			fmt.Fprintln(out, "failure\tplayed\tnobody acts: median\tmost\tnobody places: median\tmost\tnobody accepts: median\tmost")
+			for k, name := range names {
+				var acting, placing, accepting []time.Duration
+				for _, g := range gaps[k*each : (k+1)*each] {
+					acting, placing, accepting = append(acting, g.Acting), append(placing, g.Placing), append(accepting, g.Accepting)
+				}
+				slices.Sort(acting)
+				slices.Sort(placing)
+				slices.Sort(accepting)
+				fmt.Fprintf(out, "%s\t%d\t%v\t%v\t%v\t%v\t%v\t%v\n", name, each, acting[each/2], acting[each-1], placing[each/2], placing[each-1], accepting[each/2], accepting[each-1])
+			}
+			if err := out.Flush(); err != nil {
+				return err
+			}
+			for i, b := range broken {
+				if len(b) > 0 {
+					return fmt.Errorf("%s, seed %d: %v", names[i/each], seed+uint64(i), b)
+				}
+			}
+			return nil
+		}}
+	cmd.Flags().IntVar(&failures, "failures", 200, "how many failures, over all causes")
+	cmd.Flags().IntVar(&jobs, "jobs", 8, "how many worlds at a time; the result does not depend on it")
+	cmd.Flags().Uint64Var(&seed, "seed", 1, "of the first world")
+	return cmd
+}
+
+func leadersWorld() standin.Options {
+	return standin.Options{Nodes: 3, ReportEvery: 2500 * time.Millisecond, Lease: 15 * time.Second, Cancel: 35 * time.Second,
+		Teams:  []config.Team{{Name: "red", CPUs: 8, CPULimit: 14}, {Name: "blue", CPUs: 4, CPULimit: 20}},
+		Tuning: config.DefaultOptions()}
+}
--- a/internal/controller/leader/leader_test.go
+++ b/internal/controller/leader/leader_test.go
@@ -211,3 +211,93 @@
 		t.Error("still leads two leases after the last renewal")
 	}
 }
+
+// A leader whose renewals fail while the state service answers another controller hands over at once:
+// it does not act any more, and the others are bound no longer and end its lease. While the state
+// service is away for all it stays.
+func TestLeaderThatIsCutFromTheStateServiceHandsOver(t *testing.T) {
+	for name, sees := range map[string]bool{"the others are served": true, "nobody is": false} {
+		f := fresh(t)
+		f.elect()
+		yielded := false
+		began := f.now
+		for f.now.Sub(began) < lease {
+			calls := f.tick(50 * time.Millisecond)
+			f.answer(calls, "/leases/3/touch", 503, nil)
+			for _, c := range calls {
+				if h, ok := c.Body.(Hello); ok && c.Path == "/peer/hello" && h.Yield == 0 {
+					c.Done(f.now, outbox.Result{Status: 200, Body: body(t, HelloAnswer{Promised: true, Sees: sees && h.Doubt})})
+				}
+			}
+			for _, c := range f.box.Take() {
+				if h, ok := c.Body.(Hello); ok && h.Yield == 3 && h.Token == 6 {
+					yielded = true
+				}
+			}
+			if yielded {
+				break
+			}
+		}
+		if yielded != sees || f.e.Entitled(f.now) == sees || f.e.Leading() == sees {
+			t.Errorf("%s: handed over %v, still entitled %v", name, yielded, f.e.Entitled(f.now))
+		}
+		if took := f.now.Sub(began); sees && took > lease {
+			t.Errorf("handed over after %v", took)
+		}
+	}
+}
+
+// Who is told that a leadership was handed over is bound no more and ends its lease; unless a later
+// leader relies on a promise: the message may have been held up.
+func TestHandedOver(t *testing.T) {
+	for name, later := range map[string]bool{"in time": false, "late, after a promise to another leader": true} {
+		f := fresh(t)
+		calls := f.tick(0)
+		f.answer(calls, "/peer/inquiry", 200, InquiryAnswer{})
+		f.answer(calls, "/keys/", 200, map[string]any{"value": map[string]any{"name": "b", "permit": 3}, "mark": 4})
+		f.box.Take()
+		f.e.HandleHello(f.now, Hello{Name: "b", Token: 4})
+		if later {
+			f.e.HandleHello(f.now, Hello{Name: "c", Token: 9})
+			f.e.HandleHello(f.now, Hello{Name: "b", Token: 4}) // held up too
+		}
+		f.e.HandleHello(f.now, Hello{Name: "b", Token: 4, Yield: 3})
+		if f.e.bound(f.now.Add(time.Millisecond)) != later {
+			t.Errorf("%s: bound %v", name, !later)
+		}
+		ended := 0
+		for _, c := range f.tick(50 * time.Millisecond) {
+			if c.Method == "DELETE" && c.Path == "/leases/3" {
+				ended++
+			}
+		}
+		if ended != 1 {
+			t.Errorf("%s: its lease was ended %d times", name, ended)
+		}
+	}
+}
+
+// A follower that is asked finds out whether the state service answers it, and says so.
+func TestFollowerSaysWhetherItIsServed(t *testing.T) {
+	for _, served := range []bool{true, false} {
+		f := fresh(t)
+		calls := f.tick(0)
+		f.answer(calls, "/keys/", 200, map[string]any{"value": map[string]any{"name": "b", "permit": 3}, "mark": 4})
+		f.box.Take()
+		f.now = f.now.Add(time.Second)
+		if f.e.HandleHello(f.now, Hello{Name: "b", Token: 4, Doubt: true}).Sees {
+			t.Error("says that it is served before it has asked")
+		}
+		calls = f.tick(50 * time.Millisecond)
+		status := 503
+		if served {
+			status = 200
+		}
+		if f.answer(calls, "/keys/", status, nil) != 1 {
+			t.Fatal("does not ask")
+		}
+		if got := f.e.HandleHello(f.now.Add(100*time.Millisecond), Hello{Name: "b", Token: 4, Doubt: true}).Sees; got != served {
+			t.Errorf("says %v, is %v", got, served)
+		}
+	}
+}
--- a/internal/controller/node/node.go
+++ b/internal/controller/node/node.go
@@ -274,6 +274,13 @@
 	return max(500*time.Millisecond, time.Duration(float64(open)*float64(lookCost)/(lookShare*n.cfg.CPUShare)))
 }
 
+// Acts says whether this controller is entitled to act, and whether it places: an entitlement is of
+// little use to anybody before the ledger is read and the machines are accounted for.
+func (n *Node) Acts(now time.Time) (acting, placing bool) {
+	acting = n.lead != nil && n.election.Entitled(now) && n.lead.takeover.Built()
+	return acting, acting && n.lead.takeover.Placing()
+}
+
 // Registry has the controller's figures; it is safe to read at any time.
 func (n *Node) Registry() *prometheus.Registry { return n.registry }
 
--- a/internal/controller/node/users.go
+++ b/internal/controller/node/users.go
@@ -22,7 +22,8 @@
 	}
 	addr := n.peers[n.election.Leader(now)]
 	if r.Peer || addr == "" {
-		n.out.Refuse(r, 503, "no leader at present", comeBack)
+		// What is known of when there can be one: a promise has to be over, and users count from a second.
+		n.out.Refuse(r, 503, "no leader at present", max(comeBack, n.election.Wait(now)+comeBack/10))
 		return
 	}
 	timeout := 1800 * time.Millisecond
