--- a/internal/standin/model.go
+++ b/internal/standin/model.go
@@ -83,7 +83,9 @@
 		m.w.breakRule("ran_cancelled: %s starts %v after its user was told", t.key, m.w.Now.Sub(j.cancelled))
 	}
 	m.kind(h, t.key, j)
-	m.quota(j.spec.Team)
+	if !m.w.Opt.Unchecked {
+		m.quota(j.spec.Team)
+	}
 }
 
 func (m *model) kind(h *machine, k jobs.Key, j *modelJob) {
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -33,6 +33,8 @@
 	cuts    map[string]time.Time // link -> until when it is cut
 	started time.Time
 	stepped time.Duration // real time that the owners have taken
+	longest time.Duration // of these steps
+	steps   int
 	Log     *slog.Logger
 }
 
@@ -49,6 +51,8 @@
 	Arrays      int     // a job has up to this many tasks; 0: a few
 	AskOnce     bool    // users do not ask about jobs that they know to be over
 	Tuning      config.Options
+	Unchecked   bool                   // teams' limits are not checked at each start: that walks over all tasks
+	Settings    func(*config.Platform) // changes what controllers are told of their platform
 }
 
 type controller struct {
@@ -110,6 +114,9 @@
 		ReportEvery: w.Opt.ReportEvery, WorkerLease: w.Opt.Lease, CancelWithin: w.Opt.Cancel,
 		StateRate: 200, StateWrites: 20, ValueBytes: 4096, TxnOps: 8, CloudRate: 5, ListLag: 2 * time.Second,
 		CPUShare: 1, MemoryMB: 100, Connections: 1000}
+	if w.Opt.Settings != nil {
+		w.Opt.Settings(p)
+	}
 	for j := range w.Opt.Nodes {
 		if j != i {
 			p.Peers = append(p.Peers, config.Peer{Name: nodeName(j), Addr: nodeName(j)})
@@ -207,7 +214,10 @@
 	c.queue = nil
 	began := time.Now()
 	e := c.node.Step(w.local(c), cmds)
-	w.stepped += time.Since(began)
+	took := time.Since(began)
+	w.stepped += took
+	w.longest = max(w.longest, took)
+	w.steps++
 	for _, r := range e.Replies {
 		if f, ok := r.Ref.(func(inbox.Reply)); ok {
 			f(r)
