Dear machines are bound to half the cheap CPUs, unless work lasts as long as backlog asks

Change: dear CPUs come to half the cheap ones there and coming at most, by their worth, and the next are asked for once the last request is answered; the old rule by the work's length holds beside it.

--- a/internal/controller/fleet/fleet.go
+++ b/internal/controller/fleet/fleet.go
@@ -263,6 +263,9 @@
 	return s.asking == 0 && !now.Before(s.refused)
 }
 
+// Asking reports whether a request for machines of the kind is not answered yet.
+func (c *Cloud) Asking(k Kind) bool { return c.kind(k).asking > 0 }
+
 // MostAsked is how many machines of a kind can be asked for at a time: as many requests as
 // the cloud takes in a second, lists and deletions aside, and one at least.
 func (c *Cloud) MostAsked() int { return mostRent * max(int(c.rate), 1) }
--- a/internal/controller/rental/dearer.go
+++ b/internal/controller/rental/dearer.go
@@ -14,6 +14,10 @@
 const (
 	// dear is from how many times the cheapest price on a kind has to be worth it by the aims.
 	dear = 1.5
+	// dearShare is how many CPUs of dear kinds there may be for each cheap one, by their worth. A short
+	// queue on a small fleet looked worth ten times the fleet's money: what is to come later, and would
+	// have to be paid then, is not known at a start. Work that lasts long enough is not bound by it.
+	dearShare = 0.5
 	// mostWeighed bounds the jobs of a forecast: of more, every so many stands for its neighbours.
 	mostWeighed = 300
 	// grid is to how many seconds the time is rounded at which booting machines begin to serve.
@@ -34,6 +38,7 @@
 	pays := map[fleet.Kind]int{}
 	o := d.outlook(now, order)
 	serving, resting := d.dearMachines(now, opts)
+	left := d.dearRoom(opts)
 	for i := len(opts) - 1; i >= 0 && ratio(opts[i].price, opts[0].price) > dear; i-- {
 		list := serving[opts[i].kind]
 		if n := o.spares(offerOf(opts[i], len(list))); n > 0 {
@@ -60,7 +65,7 @@
 		if len(again) > 0 {
 			f.boot = 0
 		} else {
-			f.most = may
+			f.most = min(may, int(max(left, 0)/f.cpus))
 		}
 		if f.most == 0 {
 			continue
@@ -73,11 +78,35 @@
 			}
 			continue
 		}
+		left -= float64(n) * f.cpus
 		pays[opt.kind] = n
 	}
 	return pays
 }
 
+// dearRoom is how many CPUs of dear kinds there may be more.
+func (d *Desk) dearRoom(opts []option) float64 {
+	isDear := map[fleet.Kind]bool{}
+	for _, o := range opts {
+		isDear[o.kind] = ratio(o.price, opts[0].price) > dear
+		if isDear[o.kind] && d.cloud.Asking(o.kind) {
+			return 0 // how many come of it is not known yet
+		}
+	}
+	room := 0.0
+	for i := range d.held {
+		h, t := d.held[i].host, d.held[i].typ
+		switch {
+		case t == nil || h.Deleting || h.State == fleet.Failed || d.held[i].expired:
+		case isDear[h.Kind]:
+			room -= t.CPUs
+		default:
+			room += dearShare * t.CPUs
+		}
+	}
+	return room
+}
+
 // offerOf is so many machines of an option.
 func offerOf(o option, most int) offer {
 	price := o.typ.Price
--- a/internal/controller/rental/desk.go
+++ b/internal/controller/rental/desk.go
@@ -186,7 +186,7 @@
 			worth := d.worth(o.price, cheapest)
 			total := work.within(worth)
 			pay, weighed := pays[o.kind]
-			for want > 0 && asked[o.kind] < most[o.kind] && (lacking > 0 || weighed && asked[o.kind] < pay || !weighed && total > f.cpus*worth) {
+			for want > 0 && asked[o.kind] < most[o.kind] && (lacking > 0 || weighed && asked[o.kind] < pay || total > f.cpus*worth) {
 				asked[o.kind]++
 				if d.dark(o.kind.Zone) {
 					d.zones[o.kind.Zone].probe = now
--- a/internal/controller/rental/worth_test.go
+++ b/internal/controller/rental/worth_test.go
@@ -1,6 +1,7 @@
 package rental
 
 import (
+	"fmt"
 	"math"
 	"slices"
 	"testing"
@@ -11,6 +12,8 @@
 	"gullrudder/internal/config"
 	"gullrudder/internal/controller/fleet"
 	"gullrudder/internal/controller/jobs"
+	"gullrudder/internal/wire/outbox"
+	"gullrudder/internal/wire/packed"
 )
 
 // randomOutlook is a queue of a few classes on a fleet that is too small, or is not.
@@ -185,6 +188,58 @@
 	}
 }
 
+// A queue at the start of a small fleet does not make it rent many times the fleet at the dear price.
+func TestDearMachinesAreBoundByTheCheapOnes(t *testing.T) {
+	now := time.Unix(10_000, 0)
+	d := newDesk(now)
+	d.steps = stepsOf([]config.Objective{{Kind: "finished", Class: "c", Within: time.Minute, Share: 0.82}})
+	d.records = make([]record, 1)
+	for i := range 4 {
+		d.addMachine(now, i, "large", "a", true)
+	}
+	for i := range 9 {
+		d.addJob(now, 3*i+2, 30, 1)
+	}
+	d.opt.Thrift = 0.05
+	asked := 0
+	for range 30 {
+		now = now.Add(time.Second)
+		for _, m := range d.fleet.Machines {
+			m.Answered = now
+		}
+		d.size(now)
+		d.cloud.Tick(now, d.box)
+		for _, c := range d.box.Take() {
+			b, ok := c.Body.(map[string]any)
+			if !ok || c.Path != "/hosts" {
+				continue
+			}
+			n := b["how_many"].(int)
+			var ids []string
+			if b["driftwood"] == false {
+				for range n {
+					ids = append(ids, fmt.Sprintf("vm-9%05d", asked))
+					asked++
+				}
+			}
+			raw, err := packed.Marshal(map[string]any{"oarlocks": ids})
+			if err != nil {
+				t.Fatal(err)
+			}
+			c.Done(now, outbox.Result{Status: 200, Body: raw})
+		}
+	}
+	cpus := 0.0
+	for _, h := range d.cloud.Hosts {
+		if !h.Kind.Spot {
+			cpus += d.cloud.Types[h.Kind.Type].CPUs
+		}
+	}
+	if asked == 0 || cpus > dearShare*4*16 {
+		t.Errorf("%d dear machines with %g CPUs for 64 cheap ones", asked, cpus)
+	}
+}
+
 // How steps were kept is remembered, and forgotten.
 func TestRecordsOfSteps(t *testing.T) {
 	now := time.Unix(10_000, 0)
