--- a/internal/controller/rental/worth_test.go
+++ b/internal/controller/rental/worth_test.go
@@ -200,7 +200,7 @@
 	for i := range 9 {
 		d.addJob(now, 3*i+2, 30, 1)
 	}
-	d.opt.Thrift = 0.05
+	d.opt.Thrift = 0
 	asked := 0
 	for range 30 {
 		now = now.Add(time.Second)
