--- a/internal/controller/rental/desk.go
+++ b/internal/controller/rental/desk.go
@@ -159,7 +159,6 @@
 		return
 	}
 	cheapest := opts[0].price
-	d.wake(order, wants, opts)
 	// Room that is there or coming, per machine; the waiting tasks are laid into it.
 	f := d.forecast()
 	work := d.workAhead(order)
--- a/internal/controller/rental/thin.go
+++ b/internal/controller/rental/thin.go
@@ -4,10 +4,8 @@
 	"slices"
 	"time"
 
-	"gullrudder/internal/controller/fleet"
 	"gullrudder/internal/controller/jobs"
 	"gullrudder/internal/controller/place"
-	"gullrudder/internal/controller/plan"
 	"gullrudder/internal/controller/workers"
 )
 
@@ -69,45 +67,10 @@
 			slack -= m.CPUs
 			emptied++
 			d.emptyOut(now, m)
-		case slack > 2*m.CPUs:
-			// Its tasks cannot be moved: they end here, and nothing more starts, so that the rest of
-			// the fleet is used better and this machine goes back.
-			slack -= m.CPUs
-			emptied++
-			m.Draining = workers.Surplus
 		}
 	}
 }
 
-// wake uses machines again that were to go back, the fullest first, when work comes that the free room
-// of the others is too small for.
-func (d *Desk) wake(order []plan.Entry, wants []int, opts []option) {
-	short := 0.0
-	for i, want := range wants {
-		short += float64(want) * order[i].Job.CPUs
-	}
-	if short <= 0 {
-		return
-	}
-	cheap := map[fleet.Kind]bool{}
-	for _, o := range opts {
-		cheap[o.kind] = ratio(o.price, opts[0].price) <= dear
-	}
-	var resting []*workers.Machine
-	for _, m := range d.fleet.Up() {
-		switch {
-		case m.Draining == workers.InUse:
-			short -= m.CPUs - m.UsedCPU
-		case m.Draining == workers.Surplus && cheap[place.Kind(m)]:
-			resting = append(resting, m)
-		}
-	}
-	for i := len(resting) - 1; i >= 0 && short > 0; i-- {
-		resting[i].Draining = workers.InUse
-		short -= resting[i].CPUs - resting[i].UsedCPU
-	}
-}
-
 // movable reports whether all tasks on the machine save, and whether emptying it is worth
 // what moving them costs.
 func (d *Desk) movable(now time.Time, m *workers.Machine) bool {
