--- a/internal/controller/node/node.go
+++ b/internal/controller/node/node.go
@@ -256,9 +256,7 @@
 	}
 	l.book.Save(now, placing)
 	l.placer.Tick(now, placing)
-	if placing {
-		l.rental.Tick(now)
-	}
+	l.rental.Tick(now, placing)
 }
 
 // lookShare is how much of the processor's share may go into seeing what jobs wait for, and
