--- a/internal/controller/node/node.go
+++ b/internal/controller/node/node.go
@@ -256,7 +256,9 @@
 	}
 	l.book.Save(now, placing)
 	l.placer.Tick(now, placing)
-	l.rental.Tick(now, placing)
+	if placing {
+		l.rental.Tick(now)
+	}
 }
 
 // lookShare is how much of the processor's share may go into seeing what jobs wait for, and
--- a/internal/controller/rental/desk.go
+++ b/internal/controller/rental/desk.go
@@ -89,17 +89,9 @@
 	return d
 }
 
-// longTakeover is when a takeover is taken for one that waits for leases to end. What is missing until
-// then is mostly on its way to answer; its tasks would be rented for twice.
-const longTakeover = 6 * time.Second
-
-// Tick looks at what is due. Answers of the cloud make it look at once. In a takeover that lasts long
-// what the machines that are known do not hold is rented for, so that it boots meanwhile.
-func (d *Desk) Tick(now time.Time, placing bool) {
-	if !placing && now.Sub(d.since) < longTakeover {
-		return
-	}
-	if placing && !now.Before(d.nextThin) {
+// Tick looks at what is due. Answers of the cloud make it look at once.
+func (d *Desk) Tick(now time.Time) {
+	if !now.Before(d.nextThin) {
 		d.nextThin = now.Add(5 * time.Second)
 		d.thinOut(now)
 	}
