--- a/internal/controller/place/starts.go
+++ b/internal/controller/place/starts.go
@@ -9,13 +9,6 @@
 	"gullrudder/internal/controller/workers"
 )
 
-const (
-	// mostEntries bounds the jobs that are looked at for one report, and mostLeft those of them that
-	// are left to fuller machines: what a report costs must not grow with the jobs that wait.
-	mostEntries = 1000
-	mostLeft    = 16
-)
-
 // Starts picks what the machine starts now.
 func (p *Placer) Starts(now time.Time, m *workers.Machine, most int) []workers.Command {
 	if !m.Accounted || !m.Rostered || m.Draining != workers.InUse || m.CPUs+m.Mem == 0 || now.Before(m.RoomFrom) {
@@ -23,10 +16,7 @@
 	}
 	p.rank(now)
 	list := p.bookedStarts(now, m, most)
-	looked, left := 0, 0
-	full := func() bool {
-		return len(list) >= most || m.CPUs-m.UsedCPU < p.least-1e-6 || looked >= mostEntries || left >= mostLeft
-	}
+	full := func() bool { return len(list) >= most || m.CPUs-m.UsedCPU < p.least-1e-6 }
 	for rest := p.waiting; len(rest) > 0 && !full(); {
 		same := 1
 		for same < len(rest) && rest[same].Rank == rest[0].Rank {
@@ -38,12 +28,8 @@
 				if full() {
 					break
 				}
-				looked++
 				if p.near(now, e.Job, m) == near {
-					var passed bool
-					if list, passed = p.startSome(now, m, e, list, most); passed {
-						left++
-					}
+					list = p.startSome(now, m, e, list, most)
 				} else if near && e.Job.Passed.IsZero() && m.Fits(e.Job) > 0 {
 					e.Job.Passed = now
 				}
@@ -63,22 +49,20 @@
 	return m.Store.Has(j.Image) || !j.Passed.IsZero() && now.Sub(j.Passed) >= m.Store.Fetch(j.ImageGB)
 }
 
-// startSome starts as many tasks of one job on the machine as there is room for, and reports whether
-// there was room and the job was left to fuller machines.
-func (p *Placer) startSome(now time.Time, m *workers.Machine, e plan.Entry, list []workers.Command, most int) (started []workers.Command, passed bool) {
+// startSome starts as many tasks of one job on the machine as there is room for.
+func (p *Placer) startSome(now time.Time, m *workers.Machine, e plan.Entry, list []workers.Command, most int) []workers.Command {
 	j := e.Job
 	count := min(m.Fits(j), j.Waiting(), most-len(list))
 	if count <= 0 || !j.Live() || now.Before(j.NotBefore) || !Usable(j, m) {
-		return list, false
+		return list
 	}
 	if h := m.HeldFor; h != nil && h != j && (!e.Hold || p.firsts[h] && !(e.First && standing.Older(j, h))) {
 		// What is held for the oldest is not taken bit by bit by those that are planned.
-		return list, false
+		return list
 	}
 	count = min(count, ZoneRoom(j, m.Zone), TeamRoom(j, p.teams[j.Team], p.fleet.Team(j.Team)))
 	if count > 0 {
 		count = min(count, j.Waiting()-p.fuller(now, j, m, mostLooked))
-		passed = count <= 0
 	}
 	for ; count > 0; count-- {
 		t := j.NextTask()
@@ -89,7 +73,7 @@
 		list = append(list, workers.Start(a.Key.String(), a.Number))
 		j.Passed = time.Time{}
 	}
-	return list, passed
+	return list
 }
 
 // bookedStarts are the starts of gangs that have waited for the machine's report.
