--- a/internal/controller/rental/dearer.go
+++ b/internal/controller/rental/dearer.go
@@ -38,8 +38,9 @@
 	pays := map[fleet.Kind]int{}
 	o := d.outlook(now, order)
 	serving, resting := d.dearMachines(now, opts)
+	isDear := dearKinds(opts)
 	left := d.dearRoom(opts)
-	for i := len(opts) - 1; i >= 0 && ratio(opts[i].price, opts[0].price) > dear; i-- {
+	for i := len(opts) - 1; i >= 0 && isDear[opts[i].kind]; i-- {
 		list := serving[opts[i].kind]
 		if n := o.spares(offerOf(opts[i], len(list))); n > 0 {
 			for _, m := range list[:n] {
@@ -49,7 +50,7 @@
 		}
 	}
 	for _, opt := range opts {
-		if ratio(opt.price, opts[0].price) <= dear {
+		if !isDear[opt.kind] {
 			continue
 		}
 		pays[opt.kind] = 0
@@ -84,12 +85,22 @@
 	return pays
 }
 
+// dearKinds marks the kinds that are dear.
+func dearKinds(opts []option) map[fleet.Kind]bool {
+	marked := map[fleet.Kind]bool{}
+	for _, o := range opts {
+		if ratio(o.price, opts[0].price) > dear {
+			marked[o.kind] = true
+		}
+	}
+	return marked
+}
+
 // dearRoom is how many CPUs of dear kinds there may be more.
 func (d *Desk) dearRoom(opts []option) float64 {
-	isDear := map[fleet.Kind]bool{}
-	for _, o := range opts {
-		isDear[o.kind] = ratio(o.price, opts[0].price) > dear
-		if isDear[o.kind] && d.cloud.Asking(o.kind) {
+	isDear := dearKinds(opts)
+	for k := range isDear {
+		if d.cloud.Asking(k) {
 			return 0 // how many come of it is not known yet
 		}
 	}
@@ -120,10 +131,7 @@
 // have been paid for their first minute, and those that are being emptied as surplus.
 func (d *Desk) dearMachines(now time.Time, opts []option) (serving, resting map[fleet.Kind][]*workers.Machine) {
 	serving, resting = map[fleet.Kind][]*workers.Machine{}, map[fleet.Kind][]*workers.Machine{}
-	isDear := map[fleet.Kind]bool{}
-	for _, o := range opts {
-		isDear[o.kind] = ratio(o.price, opts[0].price) > dear
-	}
+	isDear := dearKinds(opts)
 	for _, m := range d.fleet.Up() {
 		k := place.Kind(m)
 		switch {
