--- a/internal/controller/rental/dearer.go
+++ b/internal/controller/rental/dearer.go
@@ -54,8 +54,8 @@
 			continue
 		}
 		pays[opt.kind] = 0
-		if len(o.queue) == 0 {
-			continue
+		if len(o.queue) == 0 || opt.typ.CPUs <= 0 {
+			continue // what has no CPUs is rented for lack of its kind only
 		}
 		again := resting[opt.kind]
 		may := 0
