--- a/internal/controller/place/starts.go
+++ b/internal/controller/place/starts.go
@@ -28,9 +28,12 @@
 				if full() {
 					break
 				}
+				if m.Fits(e.Job) == 0 {
+					continue // before anything is looked up: most of a long queue
+				}
 				if p.near(now, e.Job, m) == near {
 					list = p.startSome(now, m, e, list, most)
-				} else if near && e.Job.Passed.IsZero() && m.Fits(e.Job) > 0 {
+				} else if near && e.Job.Passed.IsZero() {
 					e.Job.Passed = now
 				}
 			}
