Teams by their names are made in one place

Cause: with the owner in slices the same loop stood in five constructors. The settings give the map now. No change of behaviour; vet and the tests of config, all controller packages and the stand-in pass.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -58,6 +58,15 @@
 	ClockError           time.Duration
 }
 
+// TeamsByName are the teams by their names.
+func (p *Platform) TeamsByName() map[string]Team {
+	teams := map[string]Team{}
+	for _, t := range p.Teams {
+		teams[t.Name] = t
+	}
+	return teams
+}
+
 type platformFile struct {
 	HostName   string `json:"host_name"`
 	Domain     string `json:"domain"`
--- a/internal/controller/node/node.go
+++ b/internal/controller/node/node.go
@@ -93,11 +93,8 @@
 
 // New makes the state of a process that has just started.
 func New(cfg *config.Platform, opt config.Options, now time.Time, rng *rand.Rand, log *slog.Logger) *Node {
-	n := &Node{cfg: cfg, opt: opt, log: log, out: inbox.Answers{Log: log}, teams: map[string]config.Team{}, peers: map[string]string{}, registry: prometheus.NewRegistry(), watch: newLatencies()}
+	n := &Node{cfg: cfg, opt: opt, log: log, out: inbox.Answers{Log: log}, teams: cfg.TeamsByName(), peers: map[string]string{}, registry: prometheus.NewRegistry(), watch: newLatencies()}
 	n.metrics = timeline.NewMetrics(n.registry)
-	for _, t := range cfg.Teams {
-		n.teams[t.Name] = t
-	}
 	var peers []leader.Peer
 	for _, p := range cfg.Peers {
 		peers = append(peers, leader.Peer{Name: p.Name, Addr: p.Addr})
--- a/internal/controller/place/placer.go
+++ b/internal/controller/place/placer.go
@@ -56,11 +56,8 @@
 
 // NewPlacer makes the placer of a new leadership.
 func NewPlacer(w World) *Placer {
-	p := &Placer{cfg: w.Platform, teams: map[string]config.Team{}, log: w.Log, box: w.Box, token: w.Token, jobs: w.Jobs, fleet: w.Fleet,
+	p := &Placer{cfg: w.Platform, teams: w.Platform.TeamsByName(), log: w.Log, box: w.Box, token: w.Token, jobs: w.Jobs, fleet: w.Fleet,
 		planner: w.Planner, room: w.Room, firsts: map[*jobs.Job]bool{}, booked: map[*jobs.Attempt]*workers.Machine{}}
-	for _, t := range w.Platform.Teams {
-		p.teams[t.Name] = t
-	}
 	return p
 }
 
--- a/internal/controller/plan/plan.go
+++ b/internal/controller/plan/plan.go
@@ -37,11 +37,8 @@
 
 // New makes a planner.
 func New(opt config.Options, p *config.Platform) *Planner {
-	pl := &Planner{opt: opt, teams: map[string]config.Team{}, waitBy: map[string][]time.Duration{},
+	pl := &Planner{opt: opt, teams: p.TeamsByName(), waitBy: map[string][]time.Duration{},
 		doneBy: map[string][]time.Duration{}, classes: map[string]*classStats{}}
-	for _, t := range p.Teams {
-		pl.teams[t.Name] = t
-	}
 	for _, o := range p.Objectives {
 		switch o.Kind {
 		case "wait":
--- a/internal/controller/rental/desk.go
+++ b/internal/controller/rental/desk.go
@@ -79,13 +79,10 @@
 
 // NewDesk makes the desk of a new leadership.
 func NewDesk(w World) *Desk {
-	d := &Desk{cfg: w.Platform, opt: w.Options, teams: map[string]config.Team{}, log: w.Log, box: w.Box, token: w.Token, since: w.Since,
+	d := &Desk{cfg: w.Platform, opt: w.Options, teams: w.Platform.TeamsByName(), log: w.Log, box: w.Box, token: w.Token, since: w.Since,
 		first: w.First, cloud: w.Cloud, fleet: w.Fleet, planner: w.Planner, placer: w.Placer, zones: map[string]*zone{}, steps: stepsOf(w.Platform.Objectives),
 		flows: map[[2]string]*flow{}, recorded: w.Since}
 	d.records = make([]record, len(d.steps))
-	for _, t := range w.Platform.Teams {
-		d.teams[t.Name] = t
-	}
 	return d
 }
 
--- a/internal/controller/requests/desk.go
+++ b/internal/controller/requests/desk.go
@@ -66,11 +66,8 @@
 
 // NewDesk makes the desk of a new leadership.
 func NewDesk(w World) *Desk {
-	d := &Desk{cfg: w.Platform, opt: w.Options, teams: map[string]config.Team{}, log: w.Log, out: w.Answers, box: w.Box, ledger: w.Ledger,
+	d := &Desk{cfg: w.Platform, opt: w.Options, teams: w.Platform.TeamsByName(), log: w.Log, out: w.Answers, box: w.Box, ledger: w.Ledger,
 		book: w.Book, fleet: w.Fleet, cloud: w.Cloud, planner: w.Planner, placer: w.Placer, rental: w.Rental, take: w.Takeover, times: w.Times, acting: w.Acting}
-	for _, t := range w.Platform.Teams {
-		d.teams[t.Name] = t
-	}
 	// What two seconds' changes hold may wait for a commit.
 	rate := d.cfg.StateWrites * float64(max(d.cfg.ValueBytes/jobBytes, 1))
 	d.gate = standing.NewGate(int(2*rate), rate)
