What a queue asks of a machine is found once for each shape of job

Need: at 5,000 machines the first limit was place.Starts: a report of a machine with room that nobody may take walked up to 64 machines for each waiting job.

Change: jobs of the order carry the number of their shape (CPUs, cards, memory, zone, types, spot). What a shape finds on a machine, on fuller ones, and in the forecast of the desk is found once; the loss as it is is forecast once for all kinds.

What is remembered is compared with plain walks on random fleets.

--- a/internal/controller/place/placer.go
+++ b/internal/controller/place/placer.go
@@ -33,9 +33,13 @@
 	order    []plan.Entry
 	ordered  time.Time
 	stale    bool
-	waiting  []plan.Entry // those of the order that have tasks to start, gangs aside
-	least    float64      // the CPUs of the smallest of their tasks
+	waiting  []candidate // those of the order that have tasks to start, gangs aside
+	shapes   map[shape]int
+	numbers  []int   // by entry of the order: the number of its job's shape
+	looks    []look  // by shape, of the machine whose starts are chosen
+	least    float64 // the CPUs of the smallest of their tasks
 	held     []*workers.Machine
+	holding  map[*jobs.Job]bool                 // jobs that machines are held for
 	firsts   map[*jobs.Job]bool                 // aged jobs that go before everything else
 	booked   map[*jobs.Attempt]*workers.Machine // starts of gangs that wait for their machines' reports
 	nextRoom time.Time
@@ -57,7 +61,7 @@
 // NewPlacer makes the placer of a new leadership.
 func NewPlacer(w World) *Placer {
 	p := &Placer{cfg: w.Platform, teams: w.Platform.TeamsByName(), log: w.Log, box: w.Box, token: w.Token, jobs: w.Jobs, fleet: w.Fleet,
-		planner: w.Planner, room: w.Room, firsts: map[*jobs.Job]bool{}, booked: map[*jobs.Attempt]*workers.Machine{}}
+		planner: w.Planner, room: w.Room, shapes: map[shape]int{}, holding: map[*jobs.Job]bool{}, firsts: map[*jobs.Job]bool{}, booked: map[*jobs.Attempt]*workers.Machine{}}
 	return p
 }
 
@@ -89,6 +93,10 @@
 	return p.order
 }
 
+// Shapes numbers, by entry of the order that was made last, what decides where the job's tasks fit:
+// those of one number fit alike. It is for looking only.
+func (p *Placer) Shapes() []int { return p.numbers }
+
 // Last is the order as it was made last. It is for looking only.
 func (p *Placer) Last() []plan.Entry { return p.order }
 
@@ -120,9 +128,12 @@
 		}
 	}
 	p.order = p.planner.Order(now, list, p.room(now))
-	p.waiting, p.least = p.waiting[:0], math.Inf(1)
+	p.waiting, p.numbers, p.least = p.waiting[:0], p.numbers[:0], math.Inf(1)
 	clear(p.firsts)
+	clear(p.shapes)
 	for _, e := range p.order {
+		number := p.shapeOf(e.Job)
+		p.numbers = append(p.numbers, number)
 		if e.First {
 			p.firsts[e.Job] = true
 		}
@@ -131,7 +142,7 @@
 		}
 		p.least = min(p.least, e.Job.CPUs)
 		if !e.Job.Gang {
-			p.waiting = append(p.waiting, e)
+			p.waiting = append(p.waiting, candidate{e, number})
 		}
 	}
 	p.hold(now)
@@ -143,6 +154,7 @@
 		p.held = append(p.held, m)
 	}
 	m.HeldFor = j
+	p.holding[j] = true
 }
 
 // hold keeps free room for the jobs that go first but fit nowhere yet, on the machines
@@ -152,9 +164,11 @@
 		m.HeldFor = nil
 	}
 	p.held = p.held[:0]
+	clear(p.holding)
 	var free []*workers.Machine // not held for a job, the most room first
-	rooms := newRoomFor()
-	for _, e := range p.order {
+	rooms := newRoomFor(len(p.shapes))
+	for i := range p.order {
+		e, number := &p.order[i], p.numbers[i]
 		j := e.Job
 		if !e.Hold || j.Waiting() == 0 || now.Before(j.NotBefore) {
 			continue
@@ -170,9 +184,9 @@
 			want -= p.holdWhole(j, free, want)
 		}
 		if want > 0 {
-			want -= rooms.fit(j, free, want)
+			want -= rooms.fit(j, number, free, want)
 		}
-		if want > 0 && !rooms.barren(j) {
+		if want > 0 && !rooms.barren(j, number) {
 			left := free[:0]
 			before := want
 			for _, m := range free {
@@ -184,7 +198,7 @@
 					left = append(left, m)
 				}
 			}
-			rooms.held(j, before-want, len(free)-len(left))
+			rooms.held(j, number, before-want, len(free)-len(left))
 			if free = left; len(free) == 0 {
 				return
 			}
@@ -201,12 +215,14 @@
 
 // roomFor is how many tasks of a shape fit on the machines that are free. Most jobs of a queue
 // have one of a few shapes: without it each of them walks the machines anew.
-type roomFor struct {
-	fits    map[shape]int
-	nothing map[shape]bool // no machine is left that could be held for these
+// They go by the numbers of the shapes.
+type roomFor []struct {
+	known   bool
+	fits    int
+	nothing bool // no machine is left that could be held for these
 }
 
-func newRoomFor() roomFor { return roomFor{map[shape]int{}, map[shape]bool{}} }
+func newRoomFor(shapes int) roomFor { return make(roomFor, shapes) }
 
 func shapeOf(j *jobs.Job) shape {
 	return shape{j.CPUs, j.Cards, j.Mem, j.Zone, strings.Join(j.Types, " "), j.Spot}
@@ -214,33 +230,31 @@
 
 // barren reports that holding was tried for a job of the same shape and no machine was found.
 // The machines that are free only become fewer, so none is found for this one either.
-func (r roomFor) barren(j *jobs.Job) bool { return j.Errors == 0 && r.nothing[shapeOf(j)] }
+func (r roomFor) barren(j *jobs.Job, number int) bool { return j.Errors == 0 && r[number].nothing }
 
 // held is told how many machines were held for a job, and how many are not free any more.
-func (r roomFor) held(j *jobs.Job, machines, gone int) {
-	if gone > 0 {
-		clear(r.fits)
+func (r roomFor) held(j *jobs.Job, number, machines, gone int) {
+	for i := range r {
+		r[i].known = r[i].known && gone == 0
 	}
 	if machines == 0 && j.Errors == 0 {
-		r.nothing[shapeOf(j)] = true
+		r[number].nothing = true
 	}
 }
 
 // fit is how many tasks of the job fit on the free machines, which are sorted by what is free;
 // more than it wants are not counted.
-func (r roomFor) fit(j *jobs.Job, free []*workers.Machine, want int) int {
+func (r roomFor) fit(j *jobs.Job, number int, free []*workers.Machine, want int) int {
 	if j.Errors > 0 {
 		return fitting(j, free, want) // some machines may be left out for this job alone
 	}
-	key := shapeOf(j)
-	total, known := r.fits[key]
-	if !known {
+	s := &r[number]
+	if !s.known {
 		probe := *j
 		probe.Tasks = jobs.MaxTasks
-		total = fitting(&probe, free, math.MaxInt)
-		r.fits[key] = total
+		s.known, s.fits = true, fitting(&probe, free, math.MaxInt)
 	}
-	return min(total, want)
+	return min(s.fits, want)
 }
 
 func fitting(j *jobs.Job, free []*workers.Machine, want int) int {
--- a/internal/controller/place/placer_test.go
+++ b/internal/controller/place/placer_test.go
@@ -53,7 +53,7 @@
 				p.Starts(now, m, rapid.IntRange(0, 9).Draw(t, "starts"))
 			}
 		}
-		free, rooms := p.byRoom(), newRoomFor()
+		free, rooms := p.byRoom(), newRoomFor(12)
 		for i := range rapid.IntRange(1, 12).Draw(t, "jobs") {
 			j := p.addJob(now, i, rapid.IntRange(1, 40).Draw(t, "tasks"), rapid.SampledFrom([]float64{0, 1, 3}).Draw(t, "cpus"))
 			j.Spot, j.Zone = rapid.Bool().Draw(t, "spot"), rapid.SampledFrom([]string{"", "a"}).Draw(t, "zone")
@@ -62,7 +62,7 @@
 				j.Errors = 1
 			}
 			want := rapid.IntRange(1, j.Tasks).Draw(t, "want")
-			if got, plain := rooms.fit(j, free, want), fitting(j, free, want); got != plain {
+			if got, plain := rooms.fit(j, p.shapeOf(j), free, want), fitting(j, free, want); got != plain {
 				t.Fatalf("%d tasks of %s fit, a walk finds %d of %d", got, j.ID, plain, want)
 			}
 		}
@@ -115,10 +115,21 @@
 			case 4:
 				p.Changed()
 			}
-			if got, want := p.fuller(now, j, m, 1<<30), p.plainFuller(now, j, m); got != want {
+			if got, want := p.fuller(now, j, m, j.Waiting(), 1<<30), p.plainFuller(now, j, m); got != want {
 				t.Fatalf("%d tasks of %s fit on machines fuller than %s, want %d", got, j.ID, m.ID, want)
 			}
 			checkJob(t, now, j)
+			p.rank(now)
+			p.lookAnew()
+			for i := range p.waiting {
+				e := &p.waiting[i]
+				if got, want := p.refuses(m, e), m.Fits(e.Job) == 0 || !KindAllowed(e.Job, Kind(m)); got != want {
+					t.Fatalf("%s refuses %s: %v", m.ID, e.Job.ID, got)
+				}
+				if got, want := p.elsewhere(now, e, m), p.plainFuller(now, e.Job, m); got != want {
+					t.Fatalf("by its shape %d tasks of %s fit on machines fuller than %s, want %d", got, e.Job.ID, m.ID, want)
+				}
+			}
 		}
 	})
 }
--- a/internal/controller/place/preempt.go
+++ b/internal/controller/place/preempt.go
@@ -33,7 +33,7 @@
 	looked := false
 	for _, e := range p.waiting {
 		j := e.Job
-		if !e.Planned || !urgent(now, e, p.cfg.ReportEvery) {
+		if !e.Planned || !urgent(now, e.Entry, p.cfg.ReportEvery) {
 			continue
 		}
 		want := p.Wanted(j)
--- a/internal/controller/place/starts.go
+++ b/internal/controller/place/starts.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"gullrudder/internal/controller/jobs"
-	"gullrudder/internal/controller/plan"
 	"gullrudder/internal/controller/standing"
 	"gullrudder/internal/controller/workers"
 )
@@ -16,6 +15,7 @@
 	}
 	p.rank(now)
 	list := p.bookedStarts(now, m, most)
+	p.lookAnew()
 	full := func() bool { return len(list) >= most || m.CPUs-m.UsedCPU < p.least-1e-6 }
 	for rest := p.waiting; len(rest) > 0 && !full(); {
 		same := 1
@@ -24,15 +24,19 @@
 		}
 		// Among jobs of one rank those go first whose image is here.
 		for _, near := range [...]bool{true, false} {
-			for _, e := range rest[:same] {
+			for i := range rest[:same] {
 				if full() {
 					break
 				}
-				if m.Fits(e.Job) == 0 {
+				e := &rest[i]
+				if p.refuses(m, e) {
 					continue // before anything is looked up: most of a long queue
 				}
 				if p.near(now, e.Job, m) == near {
-					list = p.startSome(now, m, e, list, most)
+					before := len(list)
+					if list = p.startSome(now, m, e, list, most); len(list) > before {
+						p.filled()
+					}
 				} else if near && e.Job.Passed.IsZero() {
 					e.Job.Passed = now
 				}
@@ -53,7 +57,7 @@
 }
 
 // startSome starts as many tasks of one job on the machine as there is room for.
-func (p *Placer) startSome(now time.Time, m *workers.Machine, e plan.Entry, list []workers.Command, most int) []workers.Command {
+func (p *Placer) startSome(now time.Time, m *workers.Machine, e *candidate, list []workers.Command, most int) []workers.Command {
 	j := e.Job
 	count := min(m.Fits(j), j.Waiting(), most-len(list))
 	if count <= 0 || !j.Live() || now.Before(j.NotBefore) || !Usable(j, m) {
@@ -65,7 +69,7 @@
 	}
 	count = min(count, ZoneRoom(j, m.Zone), TeamRoom(j, p.teams[j.Team], p.fleet.Team(j.Team)))
 	if count > 0 {
-		count = min(count, j.Waiting()-p.fuller(now, j, m, mostLooked))
+		count = min(count, j.Waiting()-p.elsewhere(now, e, m))
 	}
 	for ; count > 0; count-- {
 		t := j.NextTask()
@@ -115,9 +119,9 @@
 const mostLooked = 64
 
 // fuller is how many tasks of the job fit on machines that are fuller than m and report
-// soon: those are left to them. More than the job's waiting tasks are not counted.
-func (p *Placer) fuller(now time.Time, j *jobs.Job, m *workers.Machine, most int) int {
-	room, want := 0, j.Waiting()
+// soon: those are left to them. More than it wants are not counted.
+func (p *Placer) fuller(now time.Time, j *jobs.Job, m *workers.Machine, want, most int) int {
+	room := 0
 	from := workers.Levels
 	if j.CPUs > 0 {
 		from-- // on the last level no CPU is free
--- a/internal/controller/rental/dearer.go
+++ b/internal/controller/rental/dearer.go
@@ -153,6 +153,7 @@
 	if p.cpus == 0 {
 		return
 	}
+	o.known = false
 	i, _ := slices.BinarySearchFunc(o.parts, p, func(a, b part) int { return cmp.Compare(a.at, b.at) })
 	o.parts = slices.Insert(o.parts, i, p)
 }
@@ -202,8 +203,10 @@
 		}
 		return min(float64(e.Job.Waiting())*e.PerTask.Seconds()*max(e.Job.CPUs, 0.1), e.Work)
 	}
+	needs := make([]float64, len(order))
 	for i := range order {
 		if w := waits(&order[i]); w > 0 {
+			needs[i] = w
 			count++
 			total += w
 		}
@@ -212,9 +215,8 @@
 	ahead, seen := 0.0, 0
 	teams, latest := map[string]float64{}, map[string]*standpoint{}
 	for i := range order {
-		e := &order[i]
-		w := waits(e)
-		if w <= 0 {
+		e, w := &order[i], needs[i]
+		if w == 0 {
 			continue
 		}
 		ahead += w
--- a/internal/controller/rental/desk.go
+++ b/internal/controller/rental/desk.go
@@ -164,13 +164,19 @@
 	for _, o := range opts {
 		most[o.kind] = d.mayAsk(now, o.kind)
 	}
-	for i, e := range order {
-		j := e.Job
-		if j.Waiting() == 0 {
+	shapes := d.placer.Shapes()
+	settled := map[int]bool{} // shapes for which there is no room, and nothing to be asked
+	for i, want := range wants {
+		j := order[i].Job
+		alike := !j.Gang && !j.Service
+		if want == 0 || alike && settled[shapes[i]] {
 			continue
 		}
-		want := wants[i]
-		want -= f.lay(j, want)
+		had := want
+		if want -= f.lay(j, want); want <= 0 {
+			continue
+		}
+		nothing := want == had
 		lacking := needed(j) - f.capacity(j)
 		for _, o := range opts {
 			per := place.PerMachine(j, o.typ)
@@ -185,6 +191,8 @@
 			pay, weighed := pays[o.kind]
 			for want > 0 && asked[o.kind] < most[o.kind] && (lacking > 0 || weighed && asked[o.kind] < pay || total > f.cpus*worth) {
 				asked[o.kind]++
+				nothing = false
+				clear(settled)
 				if d.dark(o.kind.Zone) {
 					d.zones[o.kind.Zone].probe = now
 					break // to learn of its return; no room to count on
@@ -194,6 +202,7 @@
 				want -= f.take(len(f.open)-1, j, min(per, want))
 			}
 		}
+		settled[shapes[i]] = alike && nothing
 	}
 	for _, o := range opts {
 		if asked[o.kind] > 0 {
@@ -210,7 +219,8 @@
 func (d *Desk) workAhead(order []plan.Entry) ahead {
 	at := map[string]int{}
 	var list ahead
-	for _, e := range order {
+	for k := range order {
+		e := &order[k]
 		i, ok := at[e.Job.Team]
 		if !ok {
 			i = len(list)
--- a/internal/controller/rental/worth.go
+++ b/internal/controller/rental/worth.go
@@ -155,6 +155,8 @@
 	spend   float64 // money a second, of the fleet as it is and is coming
 	free    float64 // money over lookAhead that may be spent without weighing it
 	thrift  float64 // how much a part more money weighs against a part fewer misses
+	before  float64 // the loss with the parts as they are, if it is known
+	known   bool
 }
 
 // capacity is the fleet with so many CPUs more (or fewer) from a time on.
@@ -296,6 +298,15 @@
 	return sum
 }
 
+// asItIs is the loss if nothing is rented or given back. It is the same for each kind that is weighed.
+func (o *outlook) asItIs() float64 {
+	if !o.known {
+		missed, all, _ := o.forecast(part{})
+		o.before, o.known = o.loss(missed, all), true
+	}
+	return o.before
+}
+
 // price is what so much more (or less) money costs, against what is spent in any case.
 func (o *outlook) price(money float64) float64 {
 	base := max(o.spend*lookAhead.Seconds(), 1e-9)
@@ -316,8 +327,7 @@
 // mostPays is how many machines of an offer are worth renting: the number, of 1, 2, 4 and so on, with
 // the most gain, and what that is.
 func (o *outlook) mostPays(f offer) (count int, gain float64) {
-	missed, all, _ := o.forecast(part{})
-	before := o.loss(missed, all)
+	before := o.asItIs()
 	for n := 1; ; n = min(2*n, f.most) {
 		if n > f.most {
 			break
@@ -340,8 +350,7 @@
 // spares is how many of the machines of an offer, which serve already, are not worth their price any
 // more: the most of all, half of them, and so on.
 func (o *outlook) spares(f offer) int {
-	missed, all, _ := o.forecast(part{})
-	before := o.loss(missed, all)
+	before := o.asItIs()
 	for n := f.most; n > 0; n /= 2 {
 		missed, all, drained := o.forecast(part{0, -float64(n) * f.cpus})
 		saved := float64(n) * f.money * max(drained, minCharge.Seconds())
