Calls to the cloud that fail wait by themselves, with a budget and breakers

Need: a rental without an answer paused all calls to the cloud, deletions and lists too; a deletion of a hundred machines that was refused for one was repeated whole for ever, three times a second.

Change: each call that is repeated waits by itself (250 ms doubled to 5 s, half to one and a half of it), within half of the cloud's rate. Beyond two rentals without an outcome nothing more is asked for in a zone; what has none is the probe. A deletion refused three times is halved. After five calls without an answer one call a second goes to the cloud.

--- a/internal/controller/fleet/fleet.go
+++ b/internal/controller/fleet/fleet.go
@@ -67,6 +67,14 @@
 // burst is how much of its rate the cloud allows at once, as its protocol has it.
 const burst = 2 * time.Second
 
+const (
+	// mostTrouble is how many rentals of a zone may be without an outcome; beyond it nothing more is
+	// asked for there, and what has none is the probe.
+	mostTrouble = 2
+	// mostRefused is after how many refusals a deletion of many is halved.
+	mostRefused = 2
+)
+
 type kindState struct {
 	refused time.Time // nothing is asked for before this
 	backoff time.Duration
@@ -87,13 +95,14 @@
 	Hosts   map[string]*Host
 	Gone    []string // machines whose deletion the cloud has confirmed, to be taken by the owner
 	kinds   map[Kind]*kindState
+	trouble map[string]int // by zone, rentals whose outcome is not known yet
 	typesAt time.Time
 	listAt  time.Time
 	listing bool
 	asking  bool
 	Lists   int  // complete lists read
 	settled bool // a rental has been answered
-	waiting []func(*outbox.Box)
+	queue   queue
 	pauseTo time.Time
 	seen    map[string]bool
 	dead    map[string]bool // confirmed deletions; lists that lag still show them
@@ -102,7 +111,7 @@
 // New makes the dealings of a new leadership.
 func New(token uint64, rate float64, lag time.Duration, log *slog.Logger) *Cloud {
 	return &Cloud{token: token, log: log, rate: rate, limit: outbox.NewLimiter(rate*0.95, burst), lag: lag, epoch: new(int),
-		Types: map[string]*Type{}, Hosts: map[string]*Host{}, kinds: map[Kind]*kindState{}, dead: map[string]bool{}}
+		Types: map[string]*Type{}, Hosts: map[string]*Host{}, kinds: map[Kind]*kindState{}, trouble: map[string]int{}, queue: newQueue(token, rate), dead: map[string]bool{}}
 }
 
 // Close makes answers that are still to come harmless.
@@ -116,6 +125,7 @@
 			if r.Status == 429 || r.Status == 503 && len(r.Body) == 0 {
 				c.pauseTo = now.Add(max(r.RetryAfter, 500*time.Millisecond))
 			}
+			c.queue.heard(now, r)
 			done(now, r)
 		}
 	}
@@ -124,26 +134,34 @@
 
 // Tick reads types and lists, and sends what waits for the cloud's rate.
 func (c *Cloud) Tick(now time.Time, box *outbox.Box) {
-	if now.Before(c.pauseTo) {
+	if now.Before(c.pauseTo) || c.queue.closed(now) {
 		return
 	}
 	if c.limit.Available(now) > 0 && !c.asking && !now.Before(c.typesAt) {
-		c.limit.Take(1)
+		c.take(now)
 		c.readTypes(now, box)
 	}
-	for len(c.waiting) > 0 && c.limit.Available(now) > 0 {
-		c.limit.Take(1)
-		send := c.waiting[0]
-		c.waiting = c.waiting[1:]
+	for c.limit.Available(now) > 0 && !c.queue.closed(now) {
+		send := c.queue.next(now)
+		if send == nil {
+			break
+		}
+		c.take(now)
 		send(box)
 	}
-	if c.limit.Available(now) > 0 && !c.listing && !now.Before(c.listAt) {
-		c.limit.Take(1)
+	if c.limit.Available(now) > 0 && !c.queue.closed(now) && !c.listing && !now.Before(c.listAt) {
+		c.take(now)
 		c.seen = map[string]bool{}
 		c.list(now, box, "")
 	}
 }
 
+// take uses up a call.
+func (c *Cloud) take(now time.Time) {
+	c.limit.Take(1)
+	c.queue.went(now)
+}
+
 func (c *Cloud) readTypes(now time.Time, box *outbox.Box) {
 	c.asking = true
 	c.call(box, outbox.Call{Method: "GET", Path: "/flavors", Done: func(now time.Time, r outbox.Result) {
@@ -207,7 +225,7 @@
 		}
 		if a.More && len(a.Hosts) > 0 {
 			c.listing = true
-			c.waiting = append(c.waiting, func(box *outbox.Box) { c.list(sent, box, from) })
+			c.queue.add(false, func(box *outbox.Box) { c.list(sent, box, from) })
 			return
 		}
 		c.Lists++
@@ -260,7 +278,7 @@
 // Askable reports whether it makes sense to ask for machines of the kind now.
 func (c *Cloud) Askable(now time.Time, k Kind) bool {
 	s := c.kind(k)
-	return s.asking == 0 && !now.Before(s.refused)
+	return s.asking == 0 && !now.Before(s.refused) && c.trouble[k.Zone] < mostTrouble
 }
 
 // Asking reports whether a request for machines of the kind is not answered yet.
@@ -280,7 +298,7 @@
 		c.counter++
 		name := fmt.Sprintf("r-%d-%d", c.token, c.counter)
 		c.log.Info("renting", "request", name, "type", k.Type, "zone", k.Zone, "spot", k.Spot, "count", n)
-		c.waiting = append(c.waiting, func(box *outbox.Box) { c.rent(box, k, n, name, 0) })
+		c.queue.add(false, func(box *outbox.Box) { c.rent(box, k, n, name, 0) })
 	}
 }
 
@@ -294,6 +312,9 @@
 				Error string   `msgpack:"error"`
 			}
 			c.settled = true
+			if tries > 0 {
+				c.trouble[k.Zone]--
+			}
 			if len(r.Body) > 0 && packed.Unmarshal(r.Body, &a) != nil {
 				a.Error = "unreadable"
 			}
@@ -315,11 +336,11 @@
 			case r.Status == 503 && a.Error == "no capacity", r.Status == 400:
 				s.asking--
 				s.backoff = backoff(s.backoff)
-				s.refused = now.Add(s.backoff)
+				s.refused = now.Add(c.queue.jitter(s.backoff))
 				c.log.Info("rental refused", "request", name, "status", r.Status, "error", a.Error, "again", s.backoff)
 			default:
-				c.pauseTo = now.Add(min(time.Duration(tries+1)*250*time.Millisecond, 2*time.Second))
-				c.waiting = append(c.waiting, func(box *outbox.Box) { c.rent(box, k, n, name, tries+1) })
+				c.trouble[k.Zone]++
+				c.queue.again(now, false, tries, func(box *outbox.Box) { c.rent(box, k, n, name, tries+1) })
 			}
 		}})
 }
@@ -350,16 +371,15 @@
 			c.log.Info("returning a machine", "machine", id, "why", why)
 		}
 		// A machine that is given back frees places elsewhere: first in the queue.
-		c.waiting = append([]func(*outbox.Box){func(box *outbox.Box) { c.remove(box, part) }}, c.waiting...)
+		c.queue.add(true, func(box *outbox.Box) { c.remove(box, part, 0) })
 	}
 }
 
-func (c *Cloud) remove(box *outbox.Box, ids []string) {
+func (c *Cloud) remove(box *outbox.Box, ids []string, tries int) {
 	c.call(box, outbox.Call{Method: "POST", Path: "/hosts/delete", Body: map[string]any{"oarlocks": ids},
 		Done: func(now time.Time, r outbox.Result) {
 			if r.Status != 200 {
-				c.pauseTo = now.Add(300 * time.Millisecond)
-				c.waiting = append([]func(*outbox.Box){func(box *outbox.Box) { c.remove(box, ids) }}, c.waiting...)
+				c.removeAgain(now, ids, tries, r)
 				return
 			}
 			for _, id := range ids {
@@ -369,3 +389,17 @@
 			c.Gone = append(c.Gone, ids...)
 		}})
 }
+
+// removeAgain repeats a deletion. What the cloud refuses as a whole, time and again, is halved: one
+// machine that it cannot delete once kept ninety-nine others from being given back.
+func (c *Cloud) removeAgain(now time.Time, ids []string, tries int, r outbox.Result) {
+	refused := r.Status >= 400 && r.Status != 429 && r.Status != 503
+	if refused && tries >= mostRefused && len(ids) > 1 {
+		c.log.Info("a deletion is halved", "machines", len(ids), "status", r.Status)
+		for _, part := range [][]string{ids[:len(ids)/2], ids[len(ids)/2:]} {
+			c.queue.again(now, true, tries, func(box *outbox.Box) { c.remove(box, part, tries) })
+		}
+		return
+	}
+	c.queue.again(now, true, tries, func(box *outbox.Box) { c.remove(box, ids, tries+1) })
+}
