Machines that are slow but report are recognised and returned

Need: machines whose tasks take far longer than the same jobs' tasks elsewhere were paid for as others are, and used.

Change: pace compares each task that ends with the mean of its own job's tasks, not with the owner's estimate, which is wrong for a whole job at once.

--- a/internal/controller/node/node.go
+++ b/internal/controller/node/node.go
@@ -16,6 +16,7 @@
 	"gullrudder/internal/controller/fleet"
 	"gullrudder/internal/controller/leader"
 	"gullrudder/internal/controller/ledger"
+	"gullrudder/internal/controller/pace"
 	"gullrudder/internal/controller/place"
 	"gullrudder/internal/controller/plan"
 	"gullrudder/internal/controller/rental"
@@ -298,13 +299,14 @@
 	l.fleet = workers.NewFleet(workers.LeaseEnd(n.cfg.WorkerLease), n.log)
 	l.planner = plan.New(n.opt, n.cfg)
 	l.times = timeline.New(n.metrics, n.log)
+	slow := pace.New(n.cfg.ReportEvery)
 	l.book = book.New(book.World{Platform: n.cfg, Options: opt, Ledger: l.ledger, Fleet: l.fleet, Times: l.times, Log: n.log})
 	l.placer = place.NewPlacer(place.World{Platform: n.cfg, Token: token, Jobs: l.book.Jobs, Fleet: l.fleet, Planner: l.planner,
 		Room: func(now time.Time) plan.Room { return l.rental.Room(now) }, Box: &n.box, Log: n.log})
 	l.rental = rental.NewDesk(rental.World{Platform: n.cfg, Options: opt, Token: token, Since: now, First: func() bool { return l.takeover.First() },
-		Cloud: l.cloud, Fleet: l.fleet, Planner: l.planner, Placer: l.placer, Box: &n.box, Log: n.log})
+		Cloud: l.cloud, Fleet: l.fleet, Planner: l.planner, Placer: l.placer, Pace: slow, Box: &n.box, Log: n.log})
 	l.clerk = reports.NewClerk(reports.World{Platform: n.cfg, Token: token, Ledger: l.ledger, Book: l.book, Fleet: l.fleet, Cloud: l.cloud,
-		Planner: l.planner, Placer: l.placer, Times: l.times, Answers: &n.out, Log: n.log})
+		Planner: l.planner, Placer: l.placer, Times: l.times, Pace: slow, Answers: &n.out, Log: n.log})
 	l.takeover = takeover.New(takeover.World{Platform: n.cfg, Token: token, Since: now, Ledger: l.ledger, Book: l.book, Settings: l.settings,
 		Fleet: l.fleet, Cloud: l.cloud, Clerk: l.clerk, Placer: l.placer, Box: &n.box, Log: n.log})
 	l.requests = requests.NewDesk(requests.World{Platform: n.cfg, Options: opt, Ledger: l.ledger, Book: l.book, Fleet: l.fleet, Cloud: l.cloud,
--- a/internal/controller/rental/desk.go
+++ b/internal/controller/rental/desk.go
@@ -12,6 +12,7 @@
 	"gullrudder/internal/config"
 	"gullrudder/internal/controller/fleet"
 	"gullrudder/internal/controller/jobs"
+	"gullrudder/internal/controller/pace"
 	"gullrudder/internal/controller/place"
 	"gullrudder/internal/controller/plan"
 	"gullrudder/internal/controller/workers"
@@ -32,6 +33,7 @@
 	fleet   *workers.Fleet
 	planner *plan.Planner
 	placer  *place.Placer
+	pace    *pace.Book
 
 	sized    time.Time
 	nextSize time.Time
@@ -73,6 +75,7 @@
 	Fleet    *workers.Fleet
 	Planner  *plan.Planner
 	Placer   *place.Placer
+	Pace     *pace.Book
 	Box      *outbox.Box
 	Log      *slog.Logger
 }
@@ -80,7 +83,7 @@
 // NewDesk makes the desk of a new leadership.
 func NewDesk(w World) *Desk {
 	d := &Desk{cfg: w.Platform, opt: w.Options, teams: w.Platform.TeamsByName(), log: w.Log, box: w.Box, token: w.Token, since: w.Since,
-		first: w.First, cloud: w.Cloud, fleet: w.Fleet, planner: w.Planner, placer: w.Placer, zones: map[string]*zone{}, steps: stepsOf(w.Platform.Objectives),
+		first: w.First, cloud: w.Cloud, fleet: w.Fleet, planner: w.Planner, placer: w.Placer, pace: w.Pace, zones: map[string]*zone{}, steps: stepsOf(w.Platform.Objectives),
 		flows: map[[2]string]*flow{}, recorded: w.Since}
 	d.records = make([]record, len(d.steps))
 	return d
@@ -90,6 +93,7 @@
 func (d *Desk) Tick(now time.Time) {
 	if !now.Before(d.nextThin) {
 		d.nextThin = now.Add(5 * time.Second)
+		d.setSlowAside(now)
 		d.thinOut(now)
 	}
 	if !now.Before(d.nextSize) || d.cloud.TakeSettled() {
--- a/internal/controller/rental/desk_test.go
+++ b/internal/controller/rental/desk_test.go
@@ -10,6 +10,7 @@
 	"gullrudder/internal/config"
 	"gullrudder/internal/controller/fleet"
 	"gullrudder/internal/controller/jobs"
+	"gullrudder/internal/controller/pace"
 	"gullrudder/internal/controller/place"
 	"gullrudder/internal/controller/plan"
 	"gullrudder/internal/controller/workers"
@@ -38,7 +39,7 @@
 	placer := place.NewPlacer(place.World{Platform: cfg, Token: 1, Jobs: r.jobs, Fleet: f, Planner: planner,
 		Room: func(now time.Time) plan.Room { return r.Room(now) }, Box: r.box, Log: log})
 	r.Desk = NewDesk(World{Platform: cfg, Options: &opt, Token: 1, Since: now, First: func() bool { return true }, Cloud: cloud, Fleet: f,
-		Planner: planner, Placer: placer, Box: r.box, Log: log})
+		Planner: planner, Placer: placer, Pace: pace.New(cfg.ReportEvery), Box: r.box, Log: log})
 	return r
 }
 
@@ -215,3 +216,44 @@
 		})
 	}
 }
+
+// Machines on which tasks take three times as long get nothing more and are returned; of those that
+// cost nothing none is, and never more than a small part of the fleet at a time.
+func TestSlowMachinesAreReturned(t *testing.T) {
+	for _, price := range []float64{1, 0} {
+		now := time.Unix(10_000, 0)
+		n := newDesk(now)
+		n.cloud.Types["small"].Price = price
+		for i := range 40 {
+			m := n.addMachine(now, i, "small", "a", false)
+			for k := range 30 {
+				ran := time.Minute + time.Duration((i*7+k*13)%20)*time.Second
+				if i < 4 {
+					ran *= 4
+				}
+				n.pace.Ran(m.ID, ran, 70*time.Second, 10)
+			}
+		}
+		n.setSlowAside(now)
+		var aside []string
+		for _, m := range n.fleet.Sorted() {
+			if m.Draining == workers.Slow {
+				aside = append(aside, m.ID)
+			}
+		}
+		if want := map[float64]int{1: 2, 0: 0}[price]; len(aside) != want {
+			t.Errorf("price %g: %v set aside, want %d", price, aside, want)
+		}
+		now = now.Add(2 * time.Minute)
+		for _, m := range n.fleet.Sorted() {
+			n.look(now, m, "small", "a", false)
+		}
+		n.gather(now)
+		n.giveBack(now, nil)
+		for _, id := range aside {
+			if !n.cloud.Hosts[id].Deleting {
+				t.Errorf("%s is slow and empty and is not returned", id)
+			}
+		}
+	}
+}
--- a/internal/controller/reports/clerk.go
+++ b/internal/controller/reports/clerk.go
@@ -12,6 +12,7 @@
 	"gullrudder/internal/controller/book"
 	"gullrudder/internal/controller/fleet"
 	"gullrudder/internal/controller/ledger"
+	"gullrudder/internal/controller/pace"
 	"gullrudder/internal/controller/place"
 	"gullrudder/internal/controller/plan"
 	"gullrudder/internal/controller/timeline"
@@ -50,6 +51,7 @@
 	planner *plan.Planner
 	placer  *place.Placer
 	times   *timeline.Log
+	pace    *pace.Book
 	list    []pending
 }
 
@@ -64,6 +66,7 @@
 	Planner  *plan.Planner
 	Placer   *place.Placer
 	Times    *timeline.Log
+	Pace     *pace.Book
 	Answers  *inbox.Answers
 	Log      *slog.Logger
 }
@@ -71,7 +74,7 @@
 // NewClerk makes the clerk of a new leadership.
 func NewClerk(w World) *Clerk {
 	return &Clerk{cfg: w.Platform, log: w.Log, out: w.Answers, token: w.Token, ledger: w.Ledger, book: w.Book, fleet: w.Fleet, cloud: w.Cloud,
-		planner: w.Planner, placer: w.Placer, times: w.Times}
+		planner: w.Planner, placer: w.Placer, times: w.Times, pace: w.Pace}
 }
 
 // TurnAway refuses the reports that still wait for an answer.
@@ -178,6 +181,9 @@
 				break // a replica runs until its job is cancelled: it is started again
 			}
 			if !a.Running.IsZero() && !j.Resumed[a.Key.Task] {
+				if j.RanCount > 0 {
+					c.pace.Ran(m.ID, now.Sub(a.Running), j.RanSum/time.Duration(j.RanCount), j.RanCount)
+				}
 				c.planner.Learn(j, now.Sub(a.Running))
 			}
 			c.times.TaskDone(j, a.Key.Task)
--- a/internal/controller/reports/gone.go
+++ b/internal/controller/reports/gone.go
@@ -62,6 +62,7 @@
 		}
 		c.Ended(now, m, c.fleet.Clear(m))
 		c.fleet.Remove(m)
+		c.pace.Gone(m.ID)
 		c.ledger.Drop(now, RosterPrefix+id)
 	}
 }
