--- /dev/null
+++ b/internal/site/pool/state_test.go
@@ -0,0 +1,254 @@
+package pool
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"gullrudder/internal/steady"
+	"gullrudder/internal/wire/packed"
+)
+
+func TestMain(m *testing.M) { steady.Main(m) }
+
+// yard is a pool with a plain model of its workers: what each was told, what it holds.
+type yard struct {
+	t       *rapid.T
+	s       *State
+	now     time.Time
+	workers []*hand
+	deletes map[int][]string // by request, those that are not answered
+	next    int
+}
+
+type hand struct {
+	name    string
+	epoch   uint64
+	holding string
+	applied uint64
+	charges []charge // on their way to it
+}
+
+func (y *yard) ask(method, target string, body any) []Reply {
+	raw, err := packed.Marshal(body)
+	if err != nil {
+		y.t.Fatal(err)
+	}
+	y.next++
+	e := y.s.Step(y.now, []Request{{y.next, method, target, raw}})
+	y.look(e)
+	return e.Replies
+}
+
+// look checks every deletion that is confirmed: no worker may hold a machine of it, or be about to.
+func (y *yard) look(e Effects) {
+	for _, r := range e.Replies {
+		n, ok := r.Ref.(int)
+		ids := y.deletes[n]
+		if !ok || ids == nil {
+			continue
+		}
+		delete(y.deletes, n)
+		for _, id := range ids {
+			for _, h := range y.workers {
+				coming := false
+				for i, c := range h.charges {
+					coming = coming || c.Machine == id && i == len(h.charges)-1
+				}
+				if r.Status == 200 && (h.holding == id || coming) {
+					y.t.Fatalf("%s is confirmed as gone, and %s has it (%q, %v)", id, h.name, h.holding, h.charges)
+				}
+			}
+		}
+	}
+}
+
+func (y *yard) greet(h *hand) {
+	for _, r := range y.ask("POST", "/site/greet", greeting{Name: h.name, Addr: h.name + ":1", Type: "t", Zone: "z", CPUs: 4, Epoch: h.epoch,
+		Holding: h.holding, Applied: h.applied}) {
+		if c, ok := r.Body.(charge); ok && r.Ref == y.next {
+			h.charges = append(h.charges, c)
+		}
+	}
+}
+
+// Whatever the order in which greetings, charges, rentals, deletions, restarts and outages come: what is
+// confirmed as gone is held by nobody and will be taken by nobody; no worker has two machines; a
+// request is answered with the same machines for ever.
+func TestConfirmedIsGone(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		y := &yard{t: t, s: New(Options{Zone: "z", Price: 1}, Record{}), now: time.Unix(1000, 0), deletes: map[int][]string{}}
+		for i := range 3 {
+			y.workers = append(y.workers, &hand{name: fmt.Sprint("w", i), epoch: uint64(i + 1)})
+		}
+		charters, known := map[string]string{}, []string{}
+		for range rapid.IntRange(5, 60).Draw(t, "steps") {
+			y.now = y.now.Add(time.Duration(rapid.IntRange(1, 900).Draw(t, "ms")) * time.Millisecond)
+			h := rapid.SampledFrom(y.workers).Draw(t, "worker")
+			switch rapid.IntRange(0, 9).Draw(t, "what") {
+			case 0, 1, 2:
+				y.greet(h)
+			case 3, 4, 5:
+				if len(h.charges) > 0 { // it takes in what it was told, in order; clearing is done by then
+					c := h.charges[0]
+					h.charges = h.charges[1:]
+					h.holding, h.applied = c.Machine, c.Serial
+				}
+			case 6:
+				name := fmt.Sprint("r-", rapid.IntRange(0, 5).Draw(t, "charter"))
+				for _, r := range y.ask("POST", "/hosts", map[string]any{"charter": name, "keel": "t", "harbour": "z", "driftwood": false, "how_many": 2}) {
+					if r.Ref != y.next || r.Status != 200 {
+						continue
+					}
+					ids := r.Body.(map[string]any)["oarlocks"].([]string)
+					if old, ok := charters[name]; ok && old != fmt.Sprint(ids) {
+						t.Fatalf("%s got %s and then %v", name, old, ids)
+					}
+					charters[name] = fmt.Sprint(ids)
+					known = append(known, ids...)
+				}
+			case 7:
+				if len(known) > 0 {
+					id := rapid.SampledFrom(known).Draw(t, "machine")
+					y.deletes[y.next+1] = []string{id}
+					y.ask("POST", "/hosts/delete", map[string]any{"oarlocks": []string{id}})
+				}
+			case 8: // the worker's process ends; its successor has ended everything
+				h.holding, h.applied, h.charges = "", 0, nil
+				h.epoch += 10
+			case 9: // the pool's process ends; what it kept is there
+				if rapid.Bool().Draw(t, "restart") {
+					y.s = New(y.s.opt, kept(y.s.rec))
+					y.deletes = map[int][]string{}
+				}
+			}
+			has := map[string]string{}
+			for id, m := range y.s.rec.Machines {
+				if other, ok := has[m.Worker]; ok {
+					t.Fatalf("%s has %s and %s", m.Worker, other, id)
+				}
+				has[m.Worker] = id
+			}
+		}
+	})
+}
+
+// kept is a record as it comes back from disk: what is not written is not there.
+func kept(r Record) Record {
+	c := Record{Counter: r.Counter, Draining: r.Draining, Machines: map[string]*Machine{}, Charters: r.Charters}
+	for id, m := range r.Machines {
+		n := *m
+		n.freed = 0
+		c.Machines[id] = &n
+	}
+	return c
+}
+
+// The protocol's cloud: forms that are refused, what is listed, and a deletion of what nobody knows.
+func TestCloudInterface(t *testing.T) {
+	s := New(Options{Zone: "z", Price: 1}, Record{})
+	now := time.Unix(1000, 0)
+	ask := func(method, target string, body any) Reply {
+		t.Helper()
+		raw, err := packed.Marshal(body)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, r := range s.Step(now, []Request{{1, method, target, raw}}).Replies {
+			return r
+		}
+		return Reply{}
+	}
+	rent := func(name, typ, zone string, spot bool, n int) Reply {
+		return ask("POST", "/hosts", map[string]any{"charter": name, "keel": typ, "harbour": zone, "driftwood": spot, "how_many": n})
+	}
+	if r := rent("r", "t", "z", false, 1); r.Status != 503 {
+		t.Errorf("nobody is there: %d", r.Status)
+	}
+	epoch := uint64(rand.Uint32()) + 1
+	for i := range 3 {
+		ask("POST", "/site/greet", greeting{Name: fmt.Sprint("w", i), Addr: "a:1", Type: "t", CPUs: 4, Epoch: epoch})
+	}
+	for name, r := range map[string]Reply{"no name": rent("", "t", "z", false, 1), "none": rent("x", "t", "z", false, 0), "many": rent("x", "t", "z", false, 51)} {
+		if r.Status != 400 {
+			t.Errorf("%s: %d", name, r.Status)
+		}
+	}
+	for name, r := range map[string]Reply{"spot": rent("x", "t", "z", true, 1), "zone": rent("x", "t", "y", false, 1), "type": rent("x", "u", "z", false, 1)} {
+		if r.Status != 503 {
+			t.Errorf("%s: %d", name, r.Status)
+		}
+	}
+	if r := rent("r", "t", "z", false, 9); r.Status != 200 || len(r.Body.(map[string]any)["oarlocks"].([]string)) != 3 {
+		t.Errorf("three of nine: %v", r)
+	}
+	if r := rent("s", "t", "z", false, 1); r.Status != 503 {
+		t.Errorf("all are taken: %d", r.Status)
+	}
+	page := ask("GET", "/hosts?most=2", nil).Body.(map[string]any)
+	rest := ask("GET", "/hosts?most=2&from=vm-000002", nil).Body.(map[string]any)
+	if len(page["oarlocks"].([]host)) != 2 || page["has_next"] != true || len(rest["oarlocks"].([]host)) != 1 || rest["has_next"] != false {
+		t.Errorf("%v %v", page, rest)
+	}
+	if r := ask("POST", "/hosts/delete", map[string]any{"oarlocks": []string{"vm-999999"}}); r.Status != 200 {
+		t.Errorf("a name that is not known: %d", r.Status)
+	}
+	if r := ask("POST", "/hosts/delete", map[string]any{"oarlocks": []string{"vm-000001"}}); r.Status != 0 {
+		t.Errorf("answered with %d before the worker has said a word", r.Status)
+	}
+	now = now.Add(time.Minute)
+	if e := s.Step(now, nil); len(e.Replies) != 1 || e.Replies[0].Status != 503 || e.Replies[0].Retry == 0 {
+		t.Errorf("a worker that says nothing: %v", e.Replies)
+	}
+}
+
+// A drain outlives the pool's process, gives machines up as they fall idle, and rents none.
+func TestDrain(t *testing.T) {
+	now := time.Unix(1000, 0)
+	s := New(Options{Zone: "z"}, Record{})
+	greet := func(holding string, busy int, applied uint64) charge {
+		t.Helper()
+		raw, err := packed.Marshal(greeting{Name: "w", Addr: "a:1", Type: "t", CPUs: 4, Epoch: 7, Holding: holding, Busy: busy, Applied: applied})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return s.Step(now, []Request{{1, "POST", "/site/greet", raw}}).Replies[0].Body.(charge)
+	}
+	greet("", 0, 0)
+	raw, err := packed.Marshal(map[string]any{"charter": "r", "keel": "t", "harbour": "z", "driftwood": false, "how_many": 1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.Step(now, []Request{{1, "POST", "/hosts", raw}})
+	c := greet("", 0, 0)
+	if c.Machine != "vm-000001" || c.Notice {
+		t.Fatalf("%+v", c)
+	}
+	greet(c.Machine, 3, c.Serial)
+	s.Step(now, []Request{{1, "POST", "/site/drain", nil}})
+	s = New(s.opt, kept(s.rec))
+	if c = greet("vm-000001", 3, c.Serial); !c.Notice || c.Machine == "" {
+		t.Errorf("with tasks on it: %+v", c)
+	}
+	if c = greet("vm-000001", 0, c.Serial); c.Machine != "" {
+		t.Errorf("idle: %+v", c)
+	}
+	greet("", 0, c.Serial)
+	if o := s.overview(now); !o.Draining || o.Rented != 0 {
+		t.Errorf("%+v", o)
+	}
+	if r := s.Step(now, []Request{{1, "POST", "/hosts", raw}}).Replies[0]; r.Status == 200 && len(s.rec.Machines) > 0 {
+		t.Error("rented while drained")
+	}
+	s.Step(now, []Request{{1, "POST", "/site/undrain", nil}})
+	raw2, err := packed.Marshal(map[string]any{"charter": "r2", "keel": "t", "harbour": "z", "driftwood": false, "how_many": 1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if r := s.Step(now, []Request{{1, "POST", "/hosts", raw2}}).Replies[0]; r.Status != 200 {
+		t.Errorf("after undrain: %d", r.Status)
+	}
+}
--- a/internal/wire/packed/packed.go
+++ b/internal/wire/packed/packed.go
@@ -20,6 +20,17 @@
 // Marshal encodes a message.
 func Marshal(v any) ([]byte, error) { return msgpack.Marshal(v) }
 
+// Sorted encodes a message with the keys of its maps in order: what is equal has equal bytes.
+func Sorted(v any) ([]byte, error) {
+	var buf bytes.Buffer
+	enc := msgpack.NewEncoder(&buf)
+	enc.SetSortMapKeys(true)
+	if err := enc.Encode(v); err != nil {
+		return nil, err
+	}
+	return buf.Bytes(), nil
+}
+
 // Unmarshal checks a body and decodes it.
 func Unmarshal(body []byte, v any) error {
 	if err := Check(body); err != nil {
