--- a/internal/site/agent/results.go
+++ b/internal/site/agent/results.go
@@ -18,7 +18,6 @@
 	Tail     string    `json:"tail,omitempty"`   // the end of what it wrote to its error output, if it is not 0
 	Began    time.Time `json:"began"`
 	Finished time.Time `json:"finished"`
-	Told     bool      `json:"told"` // the pool has it
 }
 
 // results keeps what has ended, on disk: a task whose result is kept is not run again, whoever asks.
--- a/internal/site/supervise/supervise.go
+++ b/internal/site/supervise/supervise.go
@@ -19,8 +19,8 @@
 const (
 	soonest = 200 * time.Millisecond
 	latest  = 10 * time.Second
-	// steady is how long a process has to run for its next end to count as the first.
-	steady = 10 * time.Second
+	// settled is how long a process has to run for its next end to count as the first.
+	settled = 10 * time.Second
 	// patience is how long a process is given to end by itself.
 	patience = 5 * time.Second
 	// mostLog is the size at which a process's log is set aside; one older log is kept.
@@ -91,7 +91,7 @@
 			return
 		default:
 		}
-		if time.Since(began) > steady {
+		if time.Since(began) > settled {
 			wait = soonest
 		}
 		s.log.Error("a part ended and is started again", "part", p.Name, "after", time.Since(began).Round(time.Millisecond), "error", err, "in", wait)
