A drain that is waited for ends its wait when no worker is heard

Change: after 30 s in which no worker was heard it ends with exit code 3 and says what to do; the drain goes on.

Measured: a test of what counts as unheard.

--- a/cmd/gullrudder/site.go
+++ b/cmd/gullrudder/site.go
@@ -193,6 +193,9 @@
 	return packed.Unmarshal(msg.Body, v)
 }
 
+// workerGone is after how long of a worker's silence nobody waits for it any more.
+const workerGone = 30 * time.Second
+
 func drainCommand() *cobra.Command {
 	var wait bool
 	cmd := userCommand("drain", "Start nothing more on this site; what runs goes on to its end",
@@ -202,7 +205,15 @@
 			if err := a.siteCall("POST", "/site/drain", &o); err != nil {
 				return err
 			}
-			for wait && o.Rented > 0 {
+			// A worker that greeted nobody once had this wait for ever. A pool that has just started
+			// knows no worker yet.
+			for heard := time.Now(); wait && o.Rented > 0; {
+				if !o.Unheard(workerGone) {
+					heard = time.Now()
+				}
+				if time.Since(heard) > workerGone {
+					return &failure{exitUnavailable, fmt.Errorf("the worker has not been heard for %v; the drain goes on (see gullrudder doctor)", workerGone)}
+				}
 				time.Sleep(500 * time.Millisecond)
 				if err := a.siteCall("GET", "/site", &o); err != nil {
 					return err
--- a/internal/site/pool/messages.go
+++ b/internal/site/pool/messages.go
@@ -64,6 +64,16 @@
 	Workers  []WorkerView `msgpack:"workers" json:"workers"`
 }
 
+// Unheard reports that no worker with a machine has been heard for so long: what waits for them waits in vain.
+func (o Overview) Unheard(span time.Duration) bool {
+	for _, w := range o.Workers {
+		if w.Silent < span.Seconds() {
+			return false
+		}
+	}
+	return true
+}
+
 // WorkerView is one worker of the site.
 type WorkerView struct {
 	Name    string  `msgpack:"name" json:"name"`
--- a/internal/site/pool/state_test.go
+++ b/internal/site/pool/state_test.go
@@ -237,6 +237,9 @@
 		t.Errorf("idle: %+v", c)
 	}
 	greet("", 0, c.Serial)
+	if o := s.overview(now); o.Unheard(30*time.Second) || !s.overview(now.Add(time.Minute)).Unheard(30*time.Second) {
+		t.Error("a worker that was heard now is not, or one that was not for a minute is")
+	}
 	if o := s.overview(now); !o.Draining || o.Rented != 0 {
 		t.Errorf("%+v", o)
 	}
