A takeover deletes at once what the cloud lists as failed

Cause: after everything of a site had been killed, the new leader waited for the lease of the site's one machine, which the pool listed as failed: where more than a third is silent the leases decide, and one of one is.

Change: during a takeover a machine on the roster that the cloud lists as failed is given back at once; it is gone when the deletion has its 200, as ever.

--- a/internal/controller/takeover/silence.go
+++ b/internal/controller/takeover/silence.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"gullrudder/internal/controller/fleet"
 	"gullrudder/internal/controller/workers"
 	"gullrudder/internal/wire/outbox"
 	"gullrudder/internal/wire/packed"
@@ -67,15 +68,22 @@
 // dropSilent asks the machines whose reports are missing and deletes those that do not
 // answer: the cloud's answer tells that their tasks are gone well before their leases do,
 // and a takeover need not wait for them. Where many fall silent at once it is rather we who
-// cannot be reached, and the leases decide.
+// cannot be reached, and the leases decide. What the cloud itself lists as failed has stopped, however
+// much else is silent: a site of one machine, all of which had been killed, waited for the lease of the
+// machine that was no more.
 func (t *Takeover) dropSilent(now time.Time) {
-	var ids []string
+	var ids, failed []string
 	known := 0
 	for id, m := range t.fleet.Machines {
 		if !m.Up && !m.Rostered || m.Draining == workers.Silent || m.Draining == workers.Returned {
 			continue
 		}
 		known++
+		if h := t.cloud.Hosts[id]; h != nil && h.State == fleet.Failed && !h.Deleting && !t.placing {
+			m.Draining = workers.Silent
+			failed = append(failed, id)
+			continue
+		}
 		if now.Sub(m.Answered) < t.cfg.ReportEvery*5/4+time.Second {
 			if m.Accounted {
 				m.Unheard = 0
@@ -87,6 +95,9 @@
 			ids = append(ids, id)
 		}
 	}
+	if len(failed) > 0 {
+		t.cloud.Return(now, failed, "failed")
+	}
 	if len(ids) == 0 || len(ids)*3 > known {
 		return
 	}
--- a/internal/controller/takeover/takeover_test.go
+++ b/internal/controller/takeover/takeover_test.go
@@ -136,3 +136,24 @@
 		}
 	}
 }
+
+// What the cloud lists as failed is deleted during a takeover at once, also if it is all there is; what it
+// lists as running is not, as long as the leases may hold.
+func TestFailedMachinesAreDeletedDuringATakeover(t *testing.T) {
+	now := time.Unix(10_000, 0)
+	n := newTakeover(now, 9)
+	n.placing = false
+	for id, state := range map[string]string{"vm-1": fleet.Failed, "vm-2": fleet.Running} {
+		m := n.fleet.Machine(id)
+		m.Rostered, m.Answered = true, now
+		n.missing = append(n.missing, m)
+		n.cloud.Hosts[id] = &fleet.Host{ID: id, State: state, Listed: now.Add(time.Hour)}
+	}
+	n.dropSilent(now)
+	if !n.cloud.Hosts["vm-1"].Deleting || n.cloud.Hosts["vm-2"].Deleting {
+		t.Error("not the one that failed is deleted")
+	}
+	if n.account(now); n.placing {
+		t.Error("places before the deletion is confirmed")
+	}
+}
