What the appliance wrote twice is written once: server loop, free disk, requests, failures

The loop that starts a server again stood in the store, the pool and the worker; the free disk was asked in four places; two requests checked their answers for themselves; failures were decoded twice.

Change: httpwire.Server.Keep, home.FreeDisk, api.sendTo and api.failures; the worker's spans are durations. Behaviour stays.

--- a/cmd/gullrudder/client.go
+++ b/cmd/gullrudder/client.go
@@ -106,16 +106,9 @@
 
 // job asks for something that is answered with a job.
 func (a *api) job(method, path string, body []byte) error {
-	msg, err := a.ask(method, path, body)
-	if err != nil {
-		return err
-	}
-	if msg.Status >= 300 {
-		return &failure{exitRefused, fmt.Errorf("refused with %d%s", msg.Status, why(msg.Body))}
-	}
 	var j job
-	if err := packed.Unmarshal(msg.Body, &j); err != nil {
-		return &failure{exitUnavailable, fmt.Errorf("the answer cannot be read: %w", err)}
+	if err := a.send(method, path, body, &j); err != nil {
+		return err
 	}
 	return a.showJob(j)
 }
--- a/cmd/gullrudder/console.go
+++ b/cmd/gullrudder/console.go
@@ -8,9 +8,9 @@
 
 	tea "github.com/charmbracelet/bubbletea"
 	"github.com/spf13/cobra"
-	"golang.org/x/sys/unix"
 
 	"gullrudder/internal/console"
+	"gullrudder/internal/site/home"
 	"gullrudder/internal/site/pool"
 )
 
@@ -35,17 +35,11 @@
 		return snap
 	}
 	problem("pool", s.siteCall("GET", "/site", &snap.Site))
-	var f pool.Failures
-	problem("failures", s.siteCall("GET", "/site/failures", &f))
-	for _, raw := range f.List {
-		var one pool.Failure
-		if json.Unmarshal([]byte(raw), &one) == nil {
-			snap.Failures = append(snap.Failures, one)
-		}
-	}
-	var fs unix.Statfs_t
-	if unix.Statfs(s.home.Dir(), &fs) == nil {
-		snap.FreeMB, snap.KeepMB = fs.Bavail*uint64(fs.Bsize)>>20, s.home.KeepFreeMB
+	var err error
+	snap.Failures, err = s.failures()
+	problem("failures", err)
+	if free, err := home.FreeDisk(s.home.Dir()); err == nil {
+		snap.FreeMB, snap.KeepMB = free>>20, s.home.KeepFreeMB
 	}
 	return snap
 }
@@ -89,21 +83,30 @@
 	return cmd
 }
 
+// failures are those that the pool of the site on this machine keeps, the newest first.
+func (a *api) failures() ([]pool.Failure, error) {
+	var f pool.Failures
+	if err := a.siteCall("GET", "/site/failures", &f); err != nil {
+		return nil, err
+	}
+	list := []pool.Failure{}
+	for _, raw := range f.List {
+		var one pool.Failure
+		if err := json.Unmarshal([]byte(raw), &one); err != nil {
+			return nil, &failure{exitUnavailable, err}
+		}
+		list = append(list, one)
+	}
+	return list, nil
+}
+
 func failuresCommand() *cobra.Command {
 	return userCommand("failures", "Show the tasks of this site that failed last, with the end of their error output", "", cobra.NoArgs,
 		func(a *api, _ []string) error {
-			var f pool.Failures
-			if err := a.siteCall("GET", "/site/failures", &f); err != nil {
+			list, err := a.failures()
+			if err != nil {
 				return err
 			}
-			list := []pool.Failure{}
-			for _, raw := range f.List {
-				var one pool.Failure
-				if err := json.Unmarshal([]byte(raw), &one); err != nil {
-					return &failure{exitUnavailable, err}
-				}
-				list = append(list, one)
-			}
 			return a.show(list, func(w io.Writer) {
 				for _, one := range list {
 					fmt.Fprintf(w, "%s\texit %d\t%s\t%s\n", one.Task, one.Exit, one.Finished.UTC().Format(time.DateTime), one.Reason)
--- a/cmd/gullrudder/queue.go
+++ b/cmd/gullrudder/queue.go
@@ -20,7 +20,11 @@
 func (a *api) get(path string, v any) error { return a.send("GET", path, nil, v) }
 
 func (a *api) send(method, path string, body []byte, v any) error {
-	msg, err := a.ask(method, path, body)
+	return a.sendTo(a.servers, method, path, body, v)
+}
+
+func (a *api) sendTo(servers []string, method, path string, body []byte, v any) error {
+	msg, err := a.askAt(servers, method, path, body)
 	if err != nil {
 		return err
 	}
--- a/cmd/gullrudder/site.go
+++ b/cmd/gullrudder/site.go
@@ -22,7 +22,6 @@
 	"gullrudder/internal/site/pool"
 	"gullrudder/internal/site/supervise"
 	"gullrudder/internal/wire/httpwire"
-	"gullrudder/internal/wire/packed"
 )
 
 // siteDir is the directory of a site on this machine.
@@ -183,14 +182,7 @@
 	if a.home == nil {
 		return &failure{2, errors.New("this is for a site on this machine: use --data, and no --server")}
 	}
-	msg, err := a.askAt([]string{a.home.Pool}, method, path, nil)
-	if err != nil {
-		return err
-	}
-	if msg.Status >= 300 {
-		return &failure{exitRefused, fmt.Errorf("refused with %d%s", msg.Status, why(msg.Body))}
-	}
-	return packed.Unmarshal(msg.Body, v)
+	return a.sendTo([]string{a.home.Pool}, method, path, nil, v)
 }
 
 // workerGone is after how long of a worker's silence nobody waits for it any more.
@@ -289,9 +281,8 @@
 				controllers[n.Name] = n.Public
 			}
 			report, lease := h.Spans()
-			span := func(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 			r, err := agent.NewRuntime(agent.Options{Addr: h.Worker, Type: fmt.Sprintf("own-%g-%g", h.CPUs, h.MemGB), Zone: h.Zone, CPUs: h.CPUs, MemGB: h.MemGB,
-				Controllers: controllers, Report: span(report), Lease: span(lease)},
+				Controllers: controllers, Report: report, Lease: lease},
 				agent.Place{Dir: h.Dir("worker"), Name: "worker", Pool: h.Pool, As: as, Free: h.KeepFreeMB << 20}, log)
 			if err != nil {
 				return &failure{exitUnavailable, err}
@@ -357,11 +348,10 @@
 		}
 		list = append(list, finding{what, state, do})
 	}
-	var fs unix.Statfs_t
-	if err := unix.Statfs(h.Dir(), &fs); err != nil {
+	if free, err := home.FreeDisk(h.Dir()); err != nil {
 		add("disk", err.Error(), "see that the directory can be read", false)
 	} else {
-		free := fs.Bavail * uint64(fs.Bsize) >> 20
+		free >>= 20
 		add("disk", fmt.Sprintf("%d MB free, %d are kept", free, h.KeepFreeMB),
 			"delete what is not needed, first under "+h.Dir("worker", "work")+": outputs of tasks", free >= 2*h.KeepFreeMB)
 	}
--- a/internal/site/agent/runtime.go
+++ b/internal/site/agent/runtime.go
@@ -15,6 +15,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"gullrudder/internal/site/home"
 	"gullrudder/internal/wire/httpwire"
 	"gullrudder/internal/wire/packed"
 )
@@ -121,15 +122,7 @@
 	go r.own()
 	go r.greet()
 	server := httpwire.NewServer(httpwire.ServerOptions{Public: r.opt.Addr, MaxConns: 64, Idle: 75 * time.Second, Slow: 10 * time.Second, Handle: r.handle})
-	for {
-		began := time.Now()
-		err := server.Run()
-		if time.Since(began) < time.Second {
-			return fmt.Errorf("serve %s: %w", r.opt.Addr, err)
-		}
-		r.log.Error("the server stopped and is started again", "error", err)
-		time.Sleep(500 * time.Millisecond)
-	}
+	return server.Keep(r.log)
 }
 
 // Close ends all tasks.
@@ -270,11 +263,11 @@
 }
 
 func (r *Runtime) freeDisk() uint64 {
-	var fs unix.Statfs_t
-	if unix.Statfs(r.place.Dir, &fs) != nil {
-		return 0
+	left, err := home.FreeDisk(r.place.Dir)
+	if err != nil {
+		r.log.Error("the disk counts as full", "error", err)
 	}
-	return fs.Bavail * uint64(fs.Bsize)
+	return left
 }
 
 // publish notes what the pool is told. The owner calls it after each step.
--- a/internal/site/home/home.go
+++ b/internal/site/home/home.go
@@ -18,6 +18,9 @@
 	"strconv"
 	"strings"
 	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
 
 	"gullrudder/internal/site/processes"
 )
@@ -57,10 +60,10 @@
 
 const (
 	fileName  = "site.xml"
-	spanS     = 2.0  // between two reports of the worker, in seconds
-	leaseS    = 15.0 // of the worker
-	keepFree  = 256  // MB
-	ownMemory = 1.0  // GB that the appliance and the system keep for themselves
+	report    = 2 * time.Second  // between two of the worker
+	lease     = 15 * time.Second // of the worker
+	keepFree  = 256              // MB
+	ownMemory = 1.0              // GB that the appliance and the system keep for themselves
 	mostPorts = 16
 )
 
@@ -205,7 +208,7 @@
 		"outside": map[string]any{"cloud": h.Pool, "state": h.State},
 		"cluster": map[string]any{"zones": []string{h.Zone},
 			"teams":          []any{map[string]any{"name": Team, "cpus": h.CPUs}},
-			"workers":        map[string]any{"report_s": spanS, "lease_s": leaseS, "cancel_s": 2 * leaseS},
+			"workers":        map[string]any{"report_s": report.Seconds(), "lease_s": lease.Seconds(), "cancel_s": 2 * lease.Seconds()},
 			"state":          map[string]any{"rps": 2000, "write_rps": 2000, "value_kb": 32, "txn_ops": 64},
 			"cloud":          map[string]any{"rps": 20, "list_lag_s": 0.5},
 			"quota":          map[string]any{"cpu": 1, "ram_mb": 512, "max_connections": 512},
@@ -234,8 +237,17 @@
 // Supervisor is the file that says who supervises the site.
 func (h *Home) Supervisor() string { return h.Dir("up.json") }
 
-// Spans are the worker's: between its reports, and of its lease, in seconds.
-func (h *Home) Spans() (report, lease float64) { return spanS, leaseS }
+// Spans are the worker's: between its reports, and of its lease.
+func (h *Home) Spans() (between, leased time.Duration) { return report, lease }
+
+// FreeDisk is how many bytes of the disk that a directory is on may still be written.
+func FreeDisk(dir string) (uint64, error) {
+	var fs unix.Statfs_t
+	if err := unix.Statfs(dir, &fs); err != nil {
+		return 0, fmt.Errorf("disk of %s: %w", dir, err)
+	}
+	return fs.Bavail * uint64(fs.Bsize), nil
+}
 
 // Lock takes the site for one supervisor; the file stays locked as long as it is open.
 func (h *Home) Lock() (*os.File, error) {
--- a/internal/site/pool/service.go
+++ b/internal/site/pool/service.go
@@ -11,9 +11,9 @@
 	"time"
 
 	"go.etcd.io/bbolt"
-	"golang.org/x/sys/unix"
 
 	"gullrudder/internal/site/descriptions"
+	"gullrudder/internal/site/home"
 	"gullrudder/internal/wire/httpwire"
 	"gullrudder/internal/wire/packed"
 )
@@ -62,8 +62,8 @@
 	}
 	s := &Service{state: New(opt, rec), db: db, log: log, queue: make(chan Request, 1024), look: make(chan string, 256), write: make(chan func(), 1024)}
 	s.descs, err = descriptions.New(db, func() bool {
-		var fs unix.Statfs_t
-		return unix.Statfs(dir, &fs) == nil && fs.Bavail*uint64(fs.Bsize) >= free
+		left, err := home.FreeDisk(dir)
+		return err == nil && left >= free
 	})
 	return s, err
 }
@@ -80,15 +80,7 @@
 		}()
 	}
 	server := httpwire.NewServer(httpwire.ServerOptions{Public: addr, MaxConns: 512, Idle: 75 * time.Second, Slow: 10 * time.Second, Handle: s.handle})
-	for {
-		began := time.Now()
-		err := server.Run()
-		if time.Since(began) < time.Second {
-			return fmt.Errorf("serve %s: %w", addr, err)
-		}
-		s.log.Error("the server stopped and is started again", "error", err)
-		time.Sleep(500 * time.Millisecond)
-	}
+	return server.Keep(s.log)
 }
 
 func (s *Service) handle(r *httpwire.Request) {
--- a/internal/site/pool/state.go
+++ b/internal/site/pool/state.go
@@ -82,7 +82,7 @@
 	path, query, _ := strings.Cut(r.Target, "?")
 	switch r.Method + " " + path {
 	case "GET /flavors":
-		s.reply(r.Ref, 200, map[string]any{"keels": s.flavors(now)})
+		s.reply(r.Ref, 200, map[string]any{"keels": s.flavors()})
 	case "GET /hosts":
 		s.list(now, r.Ref, query)
 	case "POST /hosts":
@@ -104,7 +104,7 @@
 func (s *State) sorted() []string { return slices.Sorted(maps.Keys(s.rec.Machines)) }
 
 // flavors are the types of the workers that are there, or were while this process ran.
-func (s *State) flavors(time.Time) []flavor {
+func (s *State) flavors() []flavor {
 	types := map[string]flavor{}
 	for _, w := range s.workers {
 		types[w.Type] = flavor{Name: w.Type, CPUs: w.CPUs, Mem: w.MemGB, Price: s.opt.Price, SpotPrice: never * max(s.opt.Price, 1), Ready: 1,
--- a/internal/site/store/service.go
+++ b/internal/site/store/service.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"fmt"
 	"log/slog"
 	"time"
 
@@ -86,16 +85,7 @@
 	}()
 	server := httpwire.NewServer(httpwire.ServerOptions{Public: listen, MaxConns: s.opt.Connections, Idle: 75 * time.Second,
 		Slow: 10 * time.Second, Handle: s.handle})
-	for {
-		began := time.Now()
-		err := server.Run()
-		if time.Since(began) < time.Second {
-			return fmt.Errorf("serve %s: %w", listen, err) // the address cannot be had
-		}
-		// evio ends its loop when accept fails, as it does where sockets run out.
-		s.log.Error("the server stopped and is started again", "error", err)
-		time.Sleep(500 * time.Millisecond)
-	}
+	return server.Keep(s.log)
 }
 
 func (s *Service) handle(r *httpwire.Request) {
--- a/internal/wire/httpwire/server.go
+++ b/internal/wire/httpwire/server.go
@@ -2,6 +2,8 @@
 
 import (
 	"errors"
+	"fmt"
+	"log/slog"
 	"sync"
 	"time"
 
@@ -63,6 +65,23 @@
 	return errors.New("the accept loop ended")
 }
 
+// settled is how long a server has to run for its end not to mean that its address cannot be had.
+const settled = time.Second
+
+// Keep serves, and again whenever evio ends its loop, as it does where sockets run out. It returns only if
+// the address cannot be had.
+func (s *Server) Keep(log *slog.Logger) error {
+	for {
+		began := time.Now()
+		err := s.Run()
+		if time.Since(began) < settled {
+			return fmt.Errorf("serve %s: %w", s.opt.Public, err)
+		}
+		log.Error("the server stopped and is started again", "error", err)
+		time.Sleep(500 * time.Millisecond)
+	}
+}
+
 func (s *Server) opened(c evio.Conn) ([]byte, evio.Options, evio.Action) {
 	// evio ends its whole loop when accept fails, so the last sockets are never used up.
 	if len(s.conns) >= s.opt.MaxConns {
