--- /dev/null
+++ b/cmd/gullrudder/console.go
@@ -0,0 +1,116 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"time"
+
+	tea "github.com/charmbracelet/bubbletea"
+	"github.com/spf13/cobra"
+	"golang.org/x/sys/unix"
+
+	"gullrudder/internal/console"
+	"gullrudder/internal/site/pool"
+)
+
+// lookPatience is how long a look of the console waits for an answer.
+const lookPatience = 2 * time.Second
+
+// site is the console's side of the service.
+type site struct{ *api }
+
+func (s site) Look() console.Snapshot {
+	snap := console.Snapshot{At: time.Now()}
+	problem := func(what string, err error) {
+		if err != nil {
+			snap.Problems = append(snap.Problems, what+": "+err.Error())
+		}
+	}
+	problem("controllers", s.get("/status", &snap.Status))
+	if len(snap.Problems) == 0 {
+		problem("jobs", s.get("/queue?all=1&most=200", &snap.Queue))
+	}
+	if s.home == nil {
+		return snap
+	}
+	problem("pool", s.siteCall("GET", "/site", &snap.Site))
+	var f pool.Failures
+	problem("failures", s.siteCall("GET", "/site/failures", &f))
+	for _, raw := range f.List {
+		var one pool.Failure
+		if json.Unmarshal([]byte(raw), &one) == nil {
+			snap.Failures = append(snap.Failures, one)
+		}
+	}
+	var fs unix.Statfs_t
+	if unix.Statfs(s.home.Dir(), &fs) == nil {
+		snap.FreeMB, snap.KeepMB = fs.Bavail*uint64(fs.Bsize)>>20, s.home.KeepFreeMB
+	}
+	return snap
+}
+
+func (s site) Withdraw(job string) error {
+	return s.send("POST", "/work/"+segment(job)+"/withdraw", nil, &struct{}{})
+}
+
+func (s site) Drain(on bool) error {
+	var o pool.Overview
+	return s.siteCall("POST", map[bool]string{true: "/site/drain", false: "/site/undrain"}[on], &o)
+}
+
+func consoleCommand() *cobra.Command {
+	return userCommand("console", "Watch and run the site from a terminal", "Watch and run the site from a terminal. ? shows the keys. It keeps no state.",
+		cobra.NoArgs, func(a *api, _ []string) error {
+			a.patience = lookPatience
+			_, err := tea.NewProgram(console.New(site{a}, time.Second), tea.WithAltScreen()).Run()
+			return err
+		})
+}
+
+func topCommand() *cobra.Command {
+	var once bool
+	var every time.Duration
+	cmd := userCommand("top", "Print what the console shows, as text", "", cobra.NoArgs, func(a *api, _ []string) error {
+		a.patience = lookPatience
+		for {
+			snap := site{a}.Look()
+			if _, err := fmt.Fprint(a.out, snap.Text()); err != nil {
+				return err
+			}
+			if once {
+				return nil
+			}
+			time.Sleep(every)
+		}
+	})
+	cmd.Flags().BoolVar(&once, "once", false, "print it once")
+	cmd.Flags().DurationVar(&every, "every", 2*time.Second, "otherwise, how often")
+	return cmd
+}
+
+func failuresCommand() *cobra.Command {
+	return userCommand("failures", "Show the tasks of this site that failed last, with the end of their error output", "", cobra.NoArgs,
+		func(a *api, _ []string) error {
+			var f pool.Failures
+			if err := a.siteCall("GET", "/site/failures", &f); err != nil {
+				return err
+			}
+			list := []pool.Failure{}
+			for _, raw := range f.List {
+				var one pool.Failure
+				if err := json.Unmarshal([]byte(raw), &one); err != nil {
+					return &failure{exitUnavailable, err}
+				}
+				list = append(list, one)
+			}
+			return a.show(list, func(w io.Writer) {
+				for _, one := range list {
+					fmt.Fprintf(w, "%s\texit %d\t%s\t%s\n", one.Task, one.Exit, one.Finished.UTC().Format(time.DateTime), one.Reason)
+					if one.Tail != "" {
+						fmt.Fprintln(w, one.Tail)
+					}
+				}
+			})
+		})
+}
--- /dev/null
+++ b/internal/console/model_test.go
@@ -0,0 +1,160 @@
+package console
+
+import (
+	"errors"
+	"strings"
+	"testing"
+	"time"
+	"unicode/utf8"
+
+	tea "github.com/charmbracelet/bubbletea"
+	"github.com/google/go-cmp/cmp"
+
+	"gullrudder/internal/controller/node"
+	"gullrudder/internal/controller/requests"
+	"gullrudder/internal/site/pool"
+	"gullrudder/internal/steady"
+)
+
+func TestMain(m *testing.M) { steady.Main(m) }
+
+// desk is a site that notes what is asked of it.
+type desk struct {
+	snap  Snapshot
+	asked []string
+	err   error
+}
+
+func (d *desk) Look() Snapshot { return d.snap }
+
+func (d *desk) Withdraw(job string) error {
+	d.asked = append(d.asked, "withdraw "+job)
+	return d.err
+}
+
+func (d *desk) Drain(on bool) error {
+	d.asked = append(d.asked, map[bool]string{true: "drain", false: "undrain"}[on])
+	d.snap.Site.Draining = on
+	return d.err
+}
+
+func newDesk() *desk {
+	at := time.Date(2026, 12, 1, 20, 30, 0, 0, time.UTC)
+	return &desk{snap: Snapshot{At: at, Status: node.Status{Leader: "controller-1", Healthy: true, Jobs: 2, Waiting: 38, Running: 4},
+		Queue: requests.Queue{Total: 2, Jobs: []requests.Waiting{{ID: "job-17", Class: "ledger", Waiting: 36, Running: 4, Done: 2, Age: 65, StartBy: 559},
+			{ID: "job-18", Class: "tender", Waiting: 2, Age: 3, StartBy: 600}}},
+		Site:     pool.Overview{Rented: 1, Busy: 4, Workers: []pool.WorkerView{{Name: "worker", Machine: "vm-000001", CPUs: 8, MemGB: 22, Busy: 4, FreeMB: 80606}}},
+		Failures: []pool.Failure{{Task: "job-16/3", Exit: 3, Reason: "exit status 3", Tail: "line one\n\x1b[2Joops\n", Finished: at.Add(-time.Minute)}}}}
+}
+
+// press works through keys, and everything that comes of them but the passing of time.
+func press(m *Model, keys ...string) {
+	run := func(c tea.Cmd) {
+		for c != nil {
+			msg := c()
+			if _, ok := msg.(tea.QuitMsg); ok || msg == nil {
+				return
+			}
+			var model tea.Model
+			if model, c = m.Update(msg); model != m {
+				return
+			}
+			if _, ok := msg.(looked); ok {
+				return // the next look is later
+			}
+		}
+	}
+	run(m.look())
+	for _, k := range keys {
+		_, c := m.Update(tea.KeyMsg{Type: tea.KeyRunes, Runes: []rune(k)})
+		run(c)
+	}
+}
+
+// The screens as text, as a terminal of 80 by 24 shows them.
+func TestScreens(t *testing.T) {
+	for key, want := range map[string][]string{
+		"1": {"gullrudder  leader controller-1, state service ok   2 jobs, 38 tasks wait, 4 run",
+			"1 [jobs]  2 workers  3 failures  ? help  q leave", "",
+			"  JOB                        CLASS        WAIT    RUN   DONE      AGE  FIRST STA",
+			"> job-17                     ledger         36      4      2     1m5s  9m19s",
+			"  job-18                     tender          2      0      0       3s  10m0s"},
+		"2": {"gullrudder  leader controller-1, state service ok   2 jobs, 38 tasks wait, 4 run",
+			"1 jobs  2 [workers]  3 failures  ? help  q leave", "",
+			"  WORKER               MACHINE          CPUS       GB  TASKS    FREE MB  HEARD",
+			"> worker               vm-000001           8       22      4      80606  now"},
+		"3": {"gullrudder  leader controller-1, state service ok   2 jobs, 38 tasks wait, 4 run",
+			"1 jobs  2 workers  3 [failures]  ? help  q leave", "",
+			"  TASK                              EXIT  WHEN                 REASON",
+			"> job-16/3                             3  2026-12-01 20:29:00  exit status 3", "",
+			"end of the error output of job-16/3:", "line one", "?[2Joops"},
+	} {
+		m := New(newDesk(), time.Hour)
+		press(m, key)
+		lines := strings.Split(m.View(), "\n")
+		if len(lines) != 24 {
+			t.Errorf("screen %s has %d lines", key, len(lines))
+		}
+		for i, l := range lines {
+			lines[i] = strings.TrimRight(l, " ")
+			if utf8.RuneCountInString(l) > 80 {
+				t.Errorf("screen %s: line %d is %d wide", key, i, utf8.RuneCountInString(l))
+			}
+		}
+		if d := cmp.Diff(want, lines[:len(want)]); d != "" {
+			t.Errorf("screen %s:\n%s", key, d)
+		}
+	}
+}
+
+// What changes something asks first; only a yes does it, and what came of it is said.
+func TestNothingIsDoneUnasked(t *testing.T) {
+	d := newDesk()
+	m := New(d, time.Hour)
+	press(m, "w", "n", "d", "q", "u", "x")
+	if len(d.asked) != 0 {
+		t.Fatalf("without a yes: %v", d.asked)
+	}
+	press(m, "j", "w", "y", "d", "y")
+	if diff := cmp.Diff([]string{"withdraw job-18", "drain"}, d.asked); diff != "" {
+		t.Error(diff)
+	}
+	if !strings.Contains(m.View(), "DRAINING: 4 tasks run still") {
+		t.Errorf("the drain is not shown:\n%s", m.View())
+	}
+	// Another console, after the first was lost, shows the same.
+	again := New(d, time.Hour)
+	press(again)
+	if !strings.Contains(again.View(), "DRAINING: 4 tasks run still") {
+		t.Error("the next console does not show the drain")
+	}
+	d.err = errors.New("refused with 503")
+	press(again, "u", "y")
+	if !strings.Contains(again.View(), "use the site again: refused with 503") {
+		t.Errorf("the failure is not shown:\n%s", again.View())
+	}
+}
+
+// Trouble is told in words; a list longer than the terminal follows the chosen row; a small terminal is drawn.
+func TestTrouble(t *testing.T) {
+	d := newDesk()
+	d.snap.Status.Leader, d.snap.FreeMB, d.snap.KeepMB = "", 100, 256
+	d.snap.Problems = []string{"pool: no connection"}
+	for range 100 {
+		d.snap.Queue.Jobs = append(d.snap.Queue.Jobs, requests.Waiting{ID: "job-9"})
+	}
+	m := New(d, time.Hour)
+	press(m)
+	for range 60 {
+		press(m, "j")
+	}
+	for _, want := range []string{"NO LEADER", "DISK: 100 MB free", "PROBLEM: pool: no connection", "> job-9"} {
+		if !strings.Contains(m.View(), want) {
+			t.Errorf("%q is missing:\n%s", want, m.View())
+		}
+	}
+	m.Update(tea.WindowSizeMsg{Width: 20, Height: 5})
+	if n := len(strings.Split(m.View(), "\n")); n != 5 {
+		t.Errorf("%d lines on a terminal of 5", n)
+	}
+}
--- a/internal/controller/requests/explain.go
+++ b/internal/controller/requests/explain.go
@@ -129,7 +129,8 @@
 		Age: now.Sub(j.Submitted).Round(time.Second).Seconds(), StartBy: j.StartBy.Seconds(), EndBy: j.EndBy.Seconds(), Late: j.Late}
 }
 
-// queue lists the jobs that wait, by team and class if these are named.
+// queue lists the jobs that wait, by team and class if these are named; with all=1 those too of which
+// every task that is left runs.
 func (d *Desk) queue(now time.Time, r *inbox.Request) {
 	_, raw, _ := strings.Cut(r.Target, "?")
 	q, err := url.ParseQuery(raw)
@@ -149,7 +150,7 @@
 	a := Queue{Jobs: []Waiting{}, Late: d.book.Late()}
 	for i := range order {
 		e := &order[i]
-		if e.Job.Waiting() == 0 || !e.Job.Live() || q.Get("team") != "" && q.Get("team") != e.Job.Team || q.Get("class") != "" && q.Get("class") != e.Job.Class {
+		if e.Job.Waiting() == 0 && q.Get("all") == "" || !e.Job.Live() || q.Get("team") != "" && q.Get("team") != e.Job.Team || q.Get("class") != "" && q.Get("class") != e.Job.Class {
 			continue
 		}
 		a.Total++
--- /dev/null
+++ b/internal/standin/appliance/appliance.go
@@ -0,0 +1,214 @@
+// Package appliance drives a whole site of real processes: tasks run while its parts are killed, and
+// what they leave on disk tells whether each was done and no two attempts of one ran at a time.
+package appliance
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"time"
+
+	"gullrudder/internal/site/home"
+	"gullrudder/internal/site/processes"
+)
+
+// Run is one run of a site.
+type Run struct {
+	Program string // gullrudder
+	Dir     string // of the site, that is not there yet
+	Tasks   int
+	Seed    uint64
+	Log     func(string, ...any)
+}
+
+// Report is what came of it.
+type Report struct {
+	First time.Duration // from the start of up until the first task ran
+	All   time.Duration // until all had been done, kills included
+	Kills int
+}
+
+// Play starts a site, kills each of its parts once while tasks run, then all of it at once, drains it,
+// starts it anew, and ends it.
+func (r Run) Play() (rep Report, err error) {
+	marks, err := os.MkdirTemp("", "marks")
+	if err != nil {
+		return rep, err
+	}
+	defer os.RemoveAll(marks)
+	up, err := r.up()
+	if err != nil {
+		return rep, err
+	}
+	// Whatever happens, nothing that this started is left behind.
+	defer func() {
+		if h, e := home.Open(r.Dir); e == nil {
+			err = errors.Join(err, r.left(h))
+		}
+		_ = up.Process.Kill() // it has ended by then, if all went well
+		_ = up.Wait()
+	}()
+	began := time.Now()
+	// A task holds a lock as long as it runs: the kernel gives it up whatever ends the task.
+	script := "exec 9>" + marks + "/lock.{task}; flock -n 9 || { echo {task} >> " + marks + "/overlap; exit 9; }; : > " + marks +
+		"/ran.{task}; sleep 0.3; : > " + marks + "/done.{task}"
+	if err := r.command("submit", "--id", "job-1", "--tasks", fmt.Sprint(r.Tasks), "--cpus", "0.5", "--mem", "0.05", "--estimate", "1s", "--", "sh", "-c", script); err != nil {
+		return rep, err
+	}
+	if err := r.until(func() bool { return count(marks, "ran.") > 0 }, 30*time.Second, "the first task to run"); err != nil {
+		return rep, err
+	}
+	rep.First = time.Since(began)
+	h, err := home.Open(r.Dir)
+	if err != nil {
+		return rep, err
+	}
+	rng := rand.New(rand.NewPCG(r.Seed, 5))
+	parts := []string{"worker --data", "pool --data", "serve --config", "state --data"}
+	rng.Shuffle(len(parts), func(i, j int) { parts[i], parts[j] = parts[j], parts[i] })
+	for _, part := range parts {
+		time.Sleep(time.Duration(200+rng.IntN(800)) * time.Millisecond)
+		if r.kill(h, part) {
+			rep.Kills++
+		}
+	}
+	time.Sleep(time.Duration(rng.IntN(1500)) * time.Millisecond)
+	_ = up.Process.Kill() // the supervisor first, so that nothing is started again by it
+	_ = up.Wait()         // it was killed
+	for _, part := range parts {
+		r.kill(h, part)
+	}
+	if up, err = r.up(); err != nil {
+		return rep, err
+	}
+	if err := r.until(func() bool { return r.state("job-1") == "done" }, 90*time.Second, "all tasks to be done"); err != nil {
+		return rep, err
+	}
+	rep.All = time.Since(began)
+	if n := count(marks, "done."); n != r.Tasks {
+		return rep, fmt.Errorf("the job is done, and %d of %d tasks have left their mark", n, r.Tasks)
+	}
+	if _, err := os.Stat(filepath.Join(marks, "overlap")); err == nil {
+		return rep, errors.New("two attempts of a task ran at a time")
+	}
+	return rep, r.withdrawAndDrain(h, marks)
+}
+
+// withdrawAndDrain has a job withdrawn whose tasks fork and ignore what they are told, and the site
+// drained and ended: nothing of them may be left.
+func (r Run) withdrawAndDrain(h *home.Home, marks string) error {
+	stubborn := "trap '' TERM; : > " + marks + "/stubborn.{task}; (setsid sleep 300 &) ; sleep 300"
+	if err := r.command("submit", "--id", "job-2", "--tasks", "2", "--cpus", "0.5", "--mem", "0.05", "--", "sh", "-c", stubborn); err != nil {
+		return err
+	}
+	if err := r.until(func() bool { return count(marks, "stubborn.") == 2 }, 30*time.Second, "the stubborn tasks to run"); err != nil {
+		return err
+	}
+	if err := r.command("withdraw", "job-2"); err != nil {
+		return err
+	}
+	mark, err := os.ReadFile(h.Dir("worker", "id"))
+	if err != nil {
+		return err
+	}
+	tasks := map[string]bool{"GULLRUDDER_WORKER=" + string(mark): true}
+	if err := r.until(func() bool { return len(processes.Find(tasks, nil)) == 0 }, 15*time.Second, "a withdrawn job's processes to end"); err != nil {
+		return err
+	}
+	for _, args := range [][]string{{"drain", "--wait"}, {"undrain"}, {"down"}} {
+		if err := r.command(args...); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (r Run) up() (*exec.Cmd, error) {
+	cmd := exec.Command(r.Program, "up", "--data", r.Dir, "--as", "root", "--cpus", "4", "--mem", "4")
+	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
+	return cmd, cmd.Start()
+}
+
+// command runs a user's command to its end.
+func (r Run) command(args ...string) error {
+	out, err := r.output(args...)
+	if err != nil {
+		return fmt.Errorf("gullrudder %s: %w: %s", strings.Join(args, " "), err, out)
+	}
+	return nil
+}
+
+func (r Run) output(args ...string) (string, error) {
+	cmd := exec.Command(r.Program, append([]string{args[0], "--data", r.Dir}, args[1:]...)...)
+	if err := r.until(func() bool { _, err := home.Open(r.Dir); return err == nil }, 10*time.Second, "the site's directory"); err != nil {
+		return "", err
+	}
+	timer := time.AfterFunc(time.Minute, func() { _ = cmd.Process.Kill() })
+	defer timer.Stop()
+	out, err := cmd.CombinedOutput()
+	return string(out), err
+}
+
+func (r Run) state(job string) string {
+	out, err := r.output("show", job)
+	lines := strings.Split(out, "\n")
+	if err != nil || len(lines) < 2 {
+		return ""
+	}
+	f := strings.Fields(lines[1])
+	if len(f) < 2 {
+		return ""
+	}
+	return f[1]
+}
+
+// kill kills a part of the site at once, and reports whether there was one.
+func (r Run) kill(h *home.Home, part string) bool {
+	for _, pid := range processes.Find(map[string]bool{"GULLRUDDER_SITE=" + h.ID: true}, nil) {
+		raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/cmdline", pid))
+		if err != nil || !strings.Contains(strings.ReplaceAll(string(raw), "\x00", " "), " "+part) {
+			continue
+		}
+		if id, err := processes.Identify(pid); err == nil && id.Signal(syscall.SIGKILL) == nil {
+			r.Log("killed %s", part)
+			return true
+		}
+	}
+	return false
+}
+
+// left ends what is left of the site after it has ended, which is nothing if all is well.
+func (r Run) left(h *home.Home) error {
+	marks := map[string]bool{"GULLRUDDER_SITE=" + h.ID: true}
+	if raw, err := os.ReadFile(h.Dir("worker", "id")); err == nil {
+		marks["GULLRUDDER_WORKER="+string(raw)] = true
+	}
+	list := processes.Find(marks, nil)
+	if len(list) == 0 {
+		return nil
+	}
+	_ = processes.End(marks, nil, 5*time.Second) // the finding is what is told
+	return fmt.Errorf("%d processes were left", len(list))
+}
+
+func (r Run) until(good func() bool, within time.Duration, what string) error {
+	for end := time.Now().Add(within); !good(); time.Sleep(50 * time.Millisecond) {
+		if time.Now().After(end) {
+			return fmt.Errorf("waited %v for %s", within, what)
+		}
+	}
+	return nil
+}
+
+func count(dir, prefix string) int {
+	list, err := filepath.Glob(filepath.Join(dir, prefix+"*"))
+	if err != nil {
+		return 0
+	}
+	return len(list)
+}
