A leader that no worker reaches hands over to a controller that they reach

Change: leader/hearing knows when the leader hears nobody (a silence that is no chance, or two thirds overdue); followers then name it to no worker and count who calls; an eighth of the machines, three at least, calling elsewhere hands the leadership over, to that controller first. Nothing is deleted while nobody is heard.

--- /dev/null
+++ b/internal/controller/leader/hearing/hearing_test.go
@@ -0,0 +1,135 @@
+package hearing
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+const every = 4 * time.Second
+
+// A leader of a thousand machines knows within a second that none reaches it, one of three within the
+// time in which all should have reported; a leader that is heard is never deaf, whatever the jitter.
+func TestDeafness(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 2))
+	for _, machines := range []int{3, 40, 1000} {
+		h := New(every)
+		now := time.Unix(1000, 0)
+		h.Begin(now)
+		next := make([]time.Time, machines)
+		for i := range next {
+			next[i] = now.Add(time.Duration(rng.Int64N(int64(every))))
+		}
+		cut := now.Add(10 * time.Minute)
+		found := time.Time{}
+		for ; now.Before(cut.Add(time.Minute)) && found.IsZero(); now = now.Add(50 * time.Millisecond) {
+			for i, at := range next {
+				if at.Before(now) {
+					next[i] = at.Add(every*3/4 + time.Duration(rng.Int64N(int64(every/2))))
+					if now.Before(cut) {
+						h.Reported(now)
+					}
+				}
+			}
+			h.Tick(now, machines, 0)
+			if h.Deaf(now) {
+				found = now
+			}
+		}
+		took := found.Sub(cut)
+		if most := max(every*5/4+time.Second, 0); found.IsZero() || took < 0 || took > most || machines == 1000 && took > 1200*time.Millisecond {
+			t.Errorf("%d machines: deaf after %v", machines, took)
+		}
+	}
+}
+
+// Machines that have booted since are heard, and most are not: it is the leader still. Half of a site is
+// rather a zone.
+func TestMostAreOverdue(t *testing.T) {
+	for _, c := range []struct {
+		machines, overdue int
+		want              bool
+	}{{30, 20, true}, {30, 19, false}, {30, 15, false}, {3, 2, true}, {2, 2, false}, {4, 2, false}} {
+		h, now := New(every), time.Unix(1000, 0)
+		h.Begin(now)
+		h.Tick(now, c.machines, c.overdue)
+		h.Reported(now)
+		if got := h.Deaf(now); got != c.want {
+			t.Errorf("%+v: deaf %v", c, got)
+		}
+	}
+}
+
+// A process that stood still has heard nobody in that time, and nobody is to blame for it.
+func TestAPauseIsNoSilence(t *testing.T) {
+	h, now := New(every), time.Unix(1000, 0)
+	h.Begin(now)
+	h.Tick(now, 100, 0)
+	now = now.Add(20 * time.Second)
+	h.Tick(now, 100, 0)
+	if h.Deaf(now) {
+		t.Error("deaf for a time in which it stood still")
+	}
+}
+
+func TestSuccessor(t *testing.T) {
+	for _, c := range []struct {
+		machines, a, b int
+		want           string
+	}{
+		{400, 49, 10, ""}, // an eighth have to call elsewhere
+		{400, 50, 10, "a"},
+		{400, 10, 90, "b"},
+		{4, 2, 0, ""}, // three of a few
+		{4, 3, 0, "a"},
+		{2, 0, 2, ""}, // a lost report each is enough for that
+		{0, 9, 9, ""}, // nobody is expected: nothing is missing
+	} {
+		h, now := New(every), time.Unix(1000, 0)
+		h.Begin(now)
+		h.Tick(now, c.machines, 0)
+		h.Told("a", c.a)
+		h.Told("b", c.b)
+		if got := h.Successor(now); got != "" {
+			t.Errorf("%+v: handed to %q while the silence is short", c, got)
+		}
+		for range 200 {
+			now = now.Add(50 * time.Millisecond)
+			h.Tick(now, c.machines, 0)
+		}
+		if got := h.Successor(now); got != c.want {
+			t.Errorf("%+v: handed to %q", c, got)
+		}
+	}
+}
+
+// A follower counts workers only while the leader says that it hears none, and names it again as soon
+// as it does.
+func TestCallers(t *testing.T) {
+	h, now := New(every), time.Unix(1000, 0)
+	h.Called(now, "vm-0")
+	if h.Callers(now) != 0 || h.Withheld(now) {
+		t.Error("a worker that was sent to the leader counts")
+	}
+	h.Warned(now, true)
+	for i := range 7 {
+		h.Called(now, fmt.Sprint("vm-", i))
+		h.Called(now.Add(time.Second), fmt.Sprint("vm-", i))
+	}
+	if n := h.Callers(now.Add(time.Second)); n != 7 || !h.Withheld(now.Add(time.Second)) {
+		t.Errorf("%d of 7 callers", n)
+	}
+	if h.Withheld(now.Add(warned)) {
+		t.Error("a leader that is silent itself is not named for ever")
+	}
+	if n := h.Callers(now.Add(time.Second + remembered + 1)); n != 0 {
+		t.Errorf("%d callers are remembered for ever", n)
+	}
+	h.Warned(now, true)
+	h.Called(now, "vm-1")
+	h.Warned(now, false)
+	if h.Callers(now) != 0 || h.Withheld(now) {
+		t.Error("a leader that hears again is not named")
+	}
+}
--- a/internal/controller/leader/leader.go
+++ b/internal/controller/leader/leader.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"time"
 
+	"gullrudder/internal/controller/leader/hearing"
 	"gullrudder/internal/wire/outbox"
 	"gullrudder/internal/wire/packed"
 )
@@ -29,6 +30,7 @@
 	Lease   time.Duration
 	Promise time.Duration
 	Slack   time.Duration
+	Report  time.Duration // how often a worker reports
 }
 
 type mode int
@@ -78,6 +80,8 @@
 	leaderName    string
 	leaderHeard   time.Time
 	epoch         int // outdates answers to calls of an earlier mode
+	hearing       *hearing.Hearing
+	handedTo      string // who is to lead next, as the last leader said; empty: whoever is first
 }
 
 type promise struct {
@@ -89,9 +93,13 @@
 
 // New makes the election of a process that has just started.
 func New(opt Options, now time.Time, rng *rand.Rand, log *slog.Logger) *Election {
-	return &Election{opt: opt, log: log, rng: rng, booted: now, cleared: map[string]bool{}, promises: map[string]*promise{}}
+	return &Election{opt: opt, log: log, rng: rng, booted: now, cleared: map[string]bool{}, promises: map[string]*promise{},
+		hearing: hearing.New(opt.Report)}
 }
 
+// Hearing is what is known of whether the workers reach this controller.
+func (e *Election) Hearing() *hearing.Hearing { return e.hearing }
+
 // shorter is a span counted by the side that relies on it: less the drift of two
 // clocks (each up to 0.05 %) and a slack.
 func (e *Election) shorter(d time.Duration) time.Duration { return d - d/500 - e.opt.Slack }
@@ -294,6 +302,14 @@
 	if !e.absent {
 		e.absent = true
 		e.campaignAt = now.Add(time.Duration(e.rng.Int64N(int64(60 * time.Millisecond))))
+		// Whom the workers do not reach waits longest, so that a leadership does not come back to it.
+		switch {
+		case e.hearing.Shy(now):
+			e.campaignAt = e.campaignAt.Add(3 * e.opt.Lease)
+		case e.handedTo != "" && e.handedTo != e.opt.Name:
+			e.campaignAt = e.campaignAt.Add(e.opt.Lease / 2)
+		}
+		e.handedTo = ""
 	}
 }
 
@@ -422,5 +438,6 @@
 	e.token, e.since, e.stateUntil = token, now, until
 	e.nextTouch = leased.Add(e.opt.Lease / 4)
 	e.promises = map[string]*promise{}
+	e.hearing.Begin(now)
 	e.log.Info("leadership won", "token", token)
 }
--- a/internal/controller/leader/promises.go
+++ b/internal/controller/leader/promises.go
@@ -10,18 +10,23 @@
 
 // Hello is what the leader sends to each other controller; it asks for a promise. With Doubt it
 // asks too whether the state service answers the other. With Yield the leadership is over: nobody
-// relies on a promise to it any more, and whoever can is to end its lease.
+// relies on a promise to it any more, and whoever can is to end its lease; To is who had better lead
+// next. Deaf says that no worker reaches the leader.
 type Hello struct {
 	Name  string `msgpack:"name"`
 	Token uint64 `msgpack:"token"`
 	Doubt bool   `msgpack:"doubt,omitempty"`
 	Yield uint64 `msgpack:"yield,omitempty"`
+	To    string `msgpack:"to,omitempty"`
+	Deaf  bool   `msgpack:"deaf,omitempty"`
 }
 
-// HelloAnswer says whether the promise is given, and whether the state service has answered of late.
+// HelloAnswer says whether the promise is given, whether the state service has answered of late, and how
+// many workers came to the other controller since it knows that they do not reach the leader.
 type HelloAnswer struct {
 	Promised bool `msgpack:"promised"`
 	Sees     bool `msgpack:"sees,omitempty"`
+	Callers  int  `msgpack:"callers,omitempty"`
 }
 
 // InquiryAnswer tells a newly started controller whether it may have been promised to.
@@ -46,7 +51,8 @@
 	}
 	e.promisedToken = max(e.promisedToken, h.Token)
 	e.probe = e.probe || h.Doubt
-	return HelloAnswer{Promised: true, Sees: now.Sub(e.seen) < e.opt.Promise/4}
+	e.hearing.Warned(now, h.Deaf)
+	return HelloAnswer{Promised: true, Sees: now.Sub(e.seen) < e.opt.Promise/4, Callers: e.hearing.Callers(now)}
 }
 
 // HandleInquiry answers a newly started controller.
@@ -57,7 +63,7 @@
 // takeYield takes in that a leadership was handed over. A promise that was given to it binds no
 // more, unless a later leader relies on one: a message like this may come minutes late.
 func (e *Election) takeYield(now time.Time, h Hello) {
-	e.yielded = h.Yield
+	e.yielded, e.handedTo = h.Yield, h.To
 	if e.mode == following && h.Token == e.promisedToken {
 		e.promisedUntil = now
 		e.leaderName = ""
@@ -77,7 +83,7 @@
 		pr.asking = true
 		epoch, sent := e.epoch, now
 		box.Add(outbox.Call{Service: outbox.Peer, Addr: p.Addr, Method: "POST", Path: "/peer/hello",
-			Body: Hello{Name: e.opt.Name, Token: e.token, Doubt: e.doubts(now)}, Timeout: e.opt.Promise / 3,
+			Body: Hello{Name: e.opt.Name, Token: e.token, Doubt: e.doubts(now), Deaf: e.hearing.Deaf(now)}, Timeout: e.opt.Promise / 3,
 			Done: func(now time.Time, r outbox.Result) {
 				if e.epoch != epoch {
 					return
@@ -101,6 +107,8 @@
 				if a.Sees {
 					e.othersServed(now, box, p.Name)
 				}
+				e.hearing.Told(p.Name, a.Callers)
+				e.handOver(now, box)
 			}})
 	}
 }
@@ -121,19 +129,30 @@
 		e.served = now
 	}
 	if now.Sub(e.served) >= e.opt.Lease/5 && now.Sub(e.failing) >= e.opt.Lease/3 {
-		e.yield(now, box, name)
+		e.yield(now, box, "the state service answers "+name+" and not this controller", "")
 	}
 }
 
-// yield hands the leadership over at once: the state service answers another controller and not this
-// one. The others are told that nobody relies on their promises any more, and which lease to end.
+// handOver ends a leadership that no worker reaches while they reach another controller: their leases
+// run, and each of them is lost with all that runs there unless somebody leads whom they do reach.
+func (e *Election) handOver(now time.Time, box *outbox.Box) {
+	if e.mode != leading {
+		return
+	}
+	if to := e.hearing.Successor(now); to != "" {
+		e.yield(now, box, "the workers reach "+to+" and not this controller", to)
+		e.hearing.Yielded(now)
+	}
+}
+
+// yield hands the leadership over at once, to anybody or to a controller that is named. The others are told that nobody relies on their promises any more, and which lease to end.
 // Waiting for its end and for theirs took three times as long.
-func (e *Election) yield(now time.Time, box *outbox.Box, to string) {
+func (e *Election) yield(now time.Time, box *outbox.Box, why, to string) {
 	permit, token := e.permit, e.token
-	e.StepDown(now, box, "the state service answers "+to+" and not this controller")
+	e.StepDown(now, box, why)
 	for _, p := range e.opt.Peers {
 		box.Add(outbox.Call{Service: outbox.Peer, Addr: p.Addr, Method: "POST", Path: "/peer/hello",
-			Body: Hello{Name: e.opt.Name, Token: token, Yield: permit}, Timeout: e.opt.Promise / 3, Done: func(time.Time, outbox.Result) {}})
+			Body: Hello{Name: e.opt.Name, Token: token, Yield: permit, To: to}, Timeout: e.opt.Promise / 3, Done: func(time.Time, outbox.Result) {}})
 	}
 }
 
--- a/internal/controller/node/node.go
+++ b/internal/controller/node/node.go
@@ -102,7 +102,7 @@
 		n.peers[p.Name] = p.Addr
 	}
 	n.election = leader.New(leader.Options{Name: cfg.Name, Peers: peers, Lease: opt.LeaderLease,
-		Promise: opt.Promise, Slack: 100 * time.Millisecond}, now, rng, log)
+		Promise: opt.Promise, Slack: 100 * time.Millisecond, Report: cfg.ReportEvery}, now, rng, log)
 	return n
 }
 
@@ -196,10 +196,20 @@
 
 // report hands a machine's report to the clerk. Who is not entitled to act tells it where to go.
 func (n *Node) report(now time.Time, r *inbox.Request) {
+	hearing := n.election.Hearing()
 	if !n.acting {
-		n.out.Reply(r, 421, workers.Elsewhere{Leader: n.election.Leader(now)}, 0)
+		to := n.election.Leader(now)
+		if hearing.Withheld(now) {
+			// The leader would not hear it. That the worker came here is what the leader has to know.
+			to = ""
+			if id, ok := workers.NameIn(r.Body); ok {
+				hearing.Called(now, id)
+			}
+		}
+		n.out.Reply(r, 421, workers.Elsewhere{Leader: to}, 0)
 		return
 	}
+	hearing.Reported(now)
 	n.lead.clerk.Report(now, r, n.lead.takeover.Built())
 }
 
@@ -246,6 +256,7 @@
 		l.nextLook = now.Add(200 * time.Millisecond)
 		l.clerk.Expire(now)
 	}
+	n.election.Hearing().Tick(now, l.takeover.Expected(), l.takeover.Overdue())
 	l.takeover.Tick(now, tickEvery)
 	placing := l.takeover.Placing()
 	if !now.Before(l.nextTime) {
@@ -308,7 +319,7 @@
 	l.clerk = reports.NewClerk(reports.World{Platform: n.cfg, Token: token, Ledger: l.ledger, Book: l.book, Fleet: l.fleet, Cloud: l.cloud,
 		Planner: l.planner, Placer: l.placer, Times: l.times, Pace: slow, Answers: &n.out, Log: n.log})
 	l.takeover = takeover.New(takeover.World{Platform: n.cfg, Token: token, Since: now, Ledger: l.ledger, Book: l.book, Settings: l.settings,
-		Fleet: l.fleet, Cloud: l.cloud, Clerk: l.clerk, Placer: l.placer, Box: &n.box, Log: n.log})
+		Fleet: l.fleet, Cloud: l.cloud, Clerk: l.clerk, Placer: l.placer, Deaf: n.election.Hearing().Deaf, Box: &n.box, Log: n.log})
 	l.requests = requests.NewDesk(requests.World{Platform: n.cfg, Options: opt, Ledger: l.ledger, Book: l.book, Fleet: l.fleet, Cloud: l.cloud,
 		Planner: l.planner, Placer: l.placer, Rental: l.rental, Takeover: l.takeover, Times: l.times,
 		Acting: func() bool { return n.lead == l && n.acting }, Answers: &n.out, Box: &n.box, Log: n.log})
--- a/internal/controller/reports/clerk.go
+++ b/internal/controller/reports/clerk.go
@@ -92,7 +92,7 @@
 // (built) nothing in it is believed.
 func (c *Clerk) Report(now time.Time, r *inbox.Request, built bool) {
 	var rep workers.Report
-	if err := packed.Unmarshal(r.Body, &rep); err != nil || rep.Machine == "" || len(rep.Machine) > 100 || rep.Session == 0 {
+	if err := packed.Unmarshal(r.Body, &rep); err != nil || rep.Machine == "" || len(rep.Machine) > workers.LongestName || rep.Session == 0 {
 		c.out.Refuse(r, 400, "no report", 0)
 		return
 	}
--- a/internal/controller/takeover/silence.go
+++ b/internal/controller/takeover/silence.go
@@ -70,21 +70,34 @@
 // and a takeover need not wait for them. Where many fall silent at once it is rather we who
 // cannot be reached, and the leases decide. What the cloud itself lists as failed has stopped, however
 // much else is silent: a site of one machine, all of which had been killed, waited for the lease of the
-// machine that was no more.
+// machine that was no more. Nothing is deleted while no report at all comes through: one third
+// after the other was, on both recorded days of the operations sites, all of them well.
 func (t *Takeover) dropSilent(now time.Time) {
 	var ids, failed []string
 	known := 0
+	deaf := t.deaf(now)
+	t.expected, t.overdue = 0, 0
 	for id, m := range t.fleet.Machines {
 		if !m.Up && !m.Rostered || m.Draining == workers.Silent || m.Draining == workers.Returned {
 			continue
 		}
 		known++
+		late := now.Sub(m.Answered) >= t.cfg.ReportEvery*5/4+time.Second
+		if !t.fleet.Expired(now, m) {
+			t.expected++
+			if late {
+				t.overdue++
+			}
+		}
 		if h := t.cloud.Hosts[id]; h != nil && h.State == fleet.Failed && !h.Deleting && !t.placing {
 			m.Draining = workers.Silent
 			failed = append(failed, id)
 			continue
 		}
-		if now.Sub(m.Answered) < t.cfg.ReportEvery*5/4+time.Second {
+		if deaf {
+			continue
+		}
+		if !late {
 			if m.Accounted {
 				m.Unheard = 0
 			}
--- a/internal/controller/takeover/takeover.go
+++ b/internal/controller/takeover/takeover.go
@@ -43,7 +43,10 @@
 	mayAsk   float64            // workers that may be asked directly now
 	asking   int                // questions that are not answered yet
 	nextDrop time.Time
-	ended    bool // the leadership: answers that are still to come change nothing
+	deaf     func(time.Time) bool // no machine's report comes through to us
+	expected int                  // machines whose reports should come, their leases not being over
+	overdue  int                  // of these, those whose reports should have come
+	ended    bool                 // the leadership: answers that are still to come change nothing
 }
 
 // World is what a takeover sees of its neighbours.
@@ -58,6 +61,7 @@
 	Cloud    *fleet.Cloud
 	Clerk    *reports.Clerk
 	Placer   *place.Placer
+	Deaf     func(now time.Time) bool // no machine's report comes through to this controller
 	Box      *outbox.Box
 	Log      *slog.Logger
 }
@@ -65,7 +69,7 @@
 // New begins a takeover with nothing but the ledger to come.
 func New(w World) *Takeover {
 	return &Takeover{cfg: w.Platform, log: w.Log, box: w.Box, token: w.Token, since: w.Since, ledger: w.Ledger, book: w.Book,
-		settings: w.Settings, fleet: w.Fleet, cloud: w.Cloud, clerk: w.Clerk, placer: w.Placer}
+		settings: w.Settings, fleet: w.Fleet, cloud: w.Cloud, clerk: w.Clerk, placer: w.Placer, deaf: w.Deaf}
 }
 
 // Close makes answers that are still to come harmless.
@@ -80,6 +84,12 @@
 // Missing is how many machines are not accounted for yet.
 func (t *Takeover) Missing() int { return len(t.missing) }
 
+// Expected is how many machines should report to this leader: their leases are not over.
+func (t *Takeover) Expected() int { return t.expected }
+
+// Overdue is how many of these should have reported by now.
+func (t *Takeover) Overdue() int { return t.overdue }
+
 // First reports whether nobody has led before: the ledger was empty.
 func (t *Takeover) First() bool { return t.first }
 
--- a/internal/controller/takeover/takeover_test.go
+++ b/internal/controller/takeover/takeover_test.go
@@ -27,7 +27,8 @@
 // taking is a takeover with its neighbours, after the ledger was read.
 type taking struct {
 	*Takeover
-	out *inbox.Answers
+	out     *inbox.Answers
+	unheard bool // no report comes through to this controller
 }
 
 func newTakeover(now time.Time, token uint64) *taking {
@@ -45,7 +46,7 @@
 	clerk := reports.NewClerk(reports.World{Platform: cfg, Token: token, Ledger: led, Book: b, Fleet: f, Cloud: cloud, Planner: planner,
 		Placer: placer, Pace: pace.New(cfg.ReportEvery), Answers: k.out, Log: log})
 	k.Takeover = New(World{Platform: cfg, Token: token, Since: now, Ledger: led, Book: b, Settings: settings.New(opt, led, k.out, log), Fleet: f,
-		Cloud: cloud, Clerk: clerk, Placer: placer, Box: box, Log: log})
+		Cloud: cloud, Clerk: clerk, Placer: placer, Deaf: func(time.Time) bool { return k.unheard }, Box: box, Log: log})
 	k.built, k.placing, k.first = true, true, true
 	return k
 }
@@ -97,11 +98,16 @@
 }
 
 // One machine that was taken back without notice held up a takeover of a thousand for 15 s.
-// It is deleted after two questions without an answer, unless a third of all is silent.
+// It is deleted after two questions without an answer, unless a third of all is silent, or no report
+// comes through to this controller at all: on two recorded days a third went after the other.
 func TestSilentMachinesAreDeleted(t *testing.T) {
-	for _, c := range []struct{ machines, silent, deleted int }{{9, 1, 1}, {9, 3, 3}, {9, 4, 0}} {
+	for _, c := range []struct {
+		machines, silent, deleted int
+		unheard                   bool
+	}{{9, 1, 1, false}, {9, 3, 3, false}, {9, 4, 0, false}, {9, 3, 0, true}} {
 		now := time.Unix(10_000, 0)
 		n := newTakeover(now, 1)
+		n.unheard = c.unheard
 		for i := range c.machines {
 			id := fmt.Sprintf("vm-%06d", i)
 			m := n.fleet.Machine(id)
--- a/internal/controller/workers/messages.go
+++ b/internal/controller/workers/messages.go
@@ -6,8 +6,12 @@
 	"time"
 
 	"gullrudder/internal/wire/outbox"
+	"gullrudder/internal/wire/packed"
 )
 
+// LongestName bounds the name of a machine, in bytes.
+const LongestName = 100
+
 // Report is what a worker sends.
 type Report struct {
 	Machine string       `msgpack:"oarlock"`
@@ -94,3 +98,14 @@
 		Body:    Direct{Token: token, Session: m.Session, Commands: list},
 		Timeout: time.Second, Done: func(time.Time, outbox.Result) {}})
 }
+
+// NameIn is the name of the machine whose report a body is; false if it is none. The tasks are not read.
+func NameIn(body []byte) (string, bool) {
+	var r struct {
+		Machine string `msgpack:"oarlock"`
+	}
+	if packed.Unmarshal(body, &r) != nil || r.Machine == "" || len(r.Machine) > LongestName {
+		return "", false
+	}
+	return r.Machine, true
+}
--- a/internal/standin/leaders.go
+++ b/internal/standin/leaders.go
@@ -10,6 +10,11 @@
 			w.Cut(nodeName(leader), h, long)
 		}
 	}
+	fromWorkers := func(leader int) {
+		for _, m := range w.Cloud.running() {
+			w.Cut(nodeName(leader), m.id, 2*w.Opt.Lease)
+		}
+	}
 	others := func(leader int) (list []string) {
 		for i := range w.Opt.Nodes {
 			if i != leader {
@@ -23,6 +28,7 @@
 		"refused by the state service alone":         func(l int) { w.State.Refuse(nodeName(l), long) },
 		"cut from the state service":                 func(l int) { apart(l, "state") },
 		"cut from everything":                        func(l int) { apart(l, append(others(l), "state", "user")...) },
+		"cut from the workers":                       fromWorkers,
 		"cut from the other controllers":             func(l int) { apart(l, others(l)...) },
 		"it stands still for 4 s":                    func(l int) { w.Pause(l, 4*time.Second) },
 		"the state service is away for 4 s":          func(int) { w.State.Outage(4 * time.Second) },
