--- a/internal/config/options.go
+++ b/internal/config/options.go
@@ -30,6 +30,10 @@
 	// EstimateError is how many times its estimate work is taken to need at most, where a
 	// bound on waiting is stated.
 	EstimateError float64
+	FloorWindow   time.Duration // over which counts what was done of each class and team
+	FloorLeast    float64       // share of the jobs of each class and team that is to be done
+	FloorShare    float64       // share of the fleet that classes and teams below that may have ahead of others
+	LateShare     float64       // share of the fleet for jobs that can keep none of their aims any more
 	SealAfter     time.Duration // how long a finished job stays in the live pages
 	SealJobs      int           // finished jobs that are worth a sealed run
 	MergeRuns     int           // sealed runs that are merged into one
@@ -44,6 +48,7 @@
 		Thrift:      0.4,
 		LeaderLease: 1200 * time.Millisecond, Promise: 1200 * time.Millisecond,
 		AgedShare: 0.05, EstimateError: 2,
+		FloorWindow: 10 * time.Minute, FloorLeast: 0.6, FloorShare: 0.2, LateShare: 0.1,
 		SealAfter: time.Minute, SealJobs: 128, MergeRuns: 8,
 	}
 }
@@ -93,6 +98,10 @@
 		"promise":        durationField(time.Second, time.Minute, &o.Promise),
 		"aged-share":     numberField(0, 0.9, &o.AgedShare),
 		"estimate-error": numberField(1, 100, &o.EstimateError),
+		"floor-window":   durationField(10*time.Second, 24*time.Hour, &o.FloorWindow),
+		"floor-least":    numberField(0, 1, &o.FloorLeast),
+		"floor-share":    numberField(0, 0.9, &o.FloorShare),
+		"late-share":     numberField(0, 0.9, &o.LateShare),
 		"seal-after":     durationField(0, 24*time.Hour, &o.SealAfter),
 		"seal-jobs":      countField(1, 100_000, &o.SealJobs),
 		"merge-runs":     countField(2, 32, &o.MergeRuns),
--- a/internal/controller/node/node.go
+++ b/internal/controller/node/node.go
@@ -266,6 +266,7 @@
 		l.times.Look(now, timeline.View{Placing: placing, Healthy: l.ledger.Healthy(), Teams: n.teams, Fleet: l.fleet, Cloud: l.cloud, Order: l.placer.Last()})
 	}
 	l.book.Save(now, placing)
+	l.planner.Floor().Save(now, l.ledger, n.log)
 	l.placer.Tick(now, placing)
 	if placing {
 		l.rental.Tick(now)
@@ -322,13 +323,14 @@
 	l.clerk = reports.NewClerk(reports.World{Platform: n.cfg, Token: token, Ledger: l.ledger, Book: l.book, Fleet: l.fleet, Cloud: l.cloud,
 		Planner: l.planner, Placer: l.placer, Times: l.times, Pace: slow, Blame: blamed, Answers: &n.out, Log: n.log})
 	l.takeover = takeover.New(takeover.World{Platform: n.cfg, Token: token, Since: now, Ledger: l.ledger, Book: l.book, Settings: l.settings,
-		Fleet: l.fleet, Cloud: l.cloud, Clerk: l.clerk, Placer: l.placer, Deaf: n.election.Hearing().Deaf, Box: &n.box, Log: n.log})
+		Fleet: l.fleet, Cloud: l.cloud, Clerk: l.clerk, Placer: l.placer, Floor: l.planner.Floor(), Deaf: n.election.Hearing().Deaf, Box: &n.box, Log: n.log})
 	l.requests = requests.NewDesk(requests.World{Platform: n.cfg, Options: opt, Ledger: l.ledger, Book: l.book, Fleet: l.fleet, Cloud: l.cloud,
 		Planner: l.planner, Placer: l.placer, Rental: l.rental, Takeover: l.takeover, Times: l.times, Blame: blamed,
 		Acting: func() bool { return n.lead == l && n.acting }, Answers: &n.out, Box: &n.box, Log: n.log})
 	l.book.OnChange(l.placer.Changed)
 	l.book.OnDone(func(now time.Time, j *jobs.Job) {
 		l.rental.Ended(now, j)
+		l.planner.Floor().Done(now, j)
 		l.clerk.Over(j)
 	})
 	l.settings.OnChange(func(opt config.Options) {
--- a/internal/controller/plan/plan.go
+++ b/internal/controller/plan/plan.go
@@ -11,6 +11,7 @@
 	"gullrudder/internal/config"
 	"gullrudder/internal/controller/jobs"
 	"gullrudder/internal/controller/standing"
+	"gullrudder/internal/controller/standing/floor"
 )
 
 // Planner holds what the plan is made from.
@@ -22,6 +23,7 @@
 	covered time.Duration              // aim for starting what a team's guarantee covers; 0: none
 	classes map[string]*classStats
 	shares  []submission
+	floor   *floor.Book
 }
 
 type classStats struct {
@@ -38,7 +40,8 @@
 // New makes a planner.
 func New(opt config.Options, p *config.Platform) *Planner {
 	pl := &Planner{opt: opt, teams: p.TeamsByName(), waitBy: map[string][]time.Duration{},
-		doneBy: map[string][]time.Duration{}, classes: map[string]*classStats{}}
+		doneBy: map[string][]time.Duration{}, classes: map[string]*classStats{},
+		floor: floor.New(floorTerms(opt))}
 	for _, o := range p.Objectives {
 		switch o.Kind {
 		case "wait":
@@ -58,7 +61,17 @@
 }
 
 // Tune takes other options; what was learnt stays.
-func (p *Planner) Tune(opt config.Options) { p.opt = opt }
+func (p *Planner) Tune(opt config.Options) {
+	p.opt = opt
+	p.floor.Tune(floorTerms(opt))
+}
+
+func floorTerms(opt config.Options) floor.Terms {
+	return floor.Terms{Window: opt.FloorWindow, Least: opt.FloorLeast, Share: opt.FloorShare, Late: opt.LateShare}
+}
+
+// Floor is what is known of how each class and team was served.
+func (p *Planner) Floor() *floor.Book { return p.floor }
 
 // Learn takes in how long a task of the job has run.
 func (p *Planner) Learn(j *jobs.Job, ran time.Duration) {
@@ -215,7 +228,7 @@
 		}
 		return list[a].ID < list[b].ID
 	})
-	s := &schedule{term: p.opt.Term, now: now, room: room, aged: p.opt.AgedShare}
+	s := &schedule{term: p.opt.Term, now: now, room: room, aged: p.opt.AgedShare + p.floor.Reserve()}
 	for _, j := range list {
 		if s.lay(j, p.PerTask(j), p.Work(j, now)) && planned != nil {
 			planned[j] = true
@@ -251,9 +264,11 @@
 const (
 	rankFirst = iota
 	rankService
+	rankBehind
 	rankPlanned
 	rankCovered
 	rankWithin
+	rankLate
 	rankAged
 	rankBound
 	rankRest
@@ -267,8 +282,8 @@
 }
 
 // Order ranks the jobs that may run: the oldest of the aged, as far as the share goes that is
-// kept for them, services by their priority, the guaranteed jobs by
-// deadline, then best effort: what a team's guarantee covers, what has waited past its
+// kept for them, services by their priority, late jobs of classes and teams that are served least, the
+// guaranteed jobs by deadline, then best effort: what a team's guarantee covers, late jobs within their share, what has waited past its
 // bound, what is bound by its team's limit, then the shortest remaining time. Payoff steps: a job whose last aim is missed
 // already earns nothing by being early and goes last, until it has waited past the
 // operators' bound.
@@ -284,6 +299,7 @@
 	within := p.within(live)
 	bound := p.bound(now, live, room)
 	first := p.Terms().First(now, live, room.CPUs, room.startable)
+	late := p.late(now, live, room, func(j *jobs.Job) bool { return planned[j] || first[j] })
 	list := make([]Entry, 0, len(live))
 	for _, j := range live {
 		e := Entry{Job: j, PerTask: p.PerTask(j), Work: p.Work(j, now), Planned: planned[j], Within: within[j]}
@@ -298,6 +314,8 @@
 			e.Rank, e.key, e.Hold, e.First = rankFirst, -age.Seconds(), true, true
 		case j.Service:
 			e.Rank, e.key, e.Hold = rankService, -float64(j.Priority), true
+		case late[j] == floor.Behind:
+			e.Rank, e.key, e.Hold = rankBehind, srt, true
 		case e.Planned:
 			e.Rank, e.key, e.Hold = rankPlanned, Due(j).Sub(now).Seconds(), true
 		case e.Within && age < p.covered:
@@ -305,6 +323,8 @@
 			e.Rank, e.key, e.Hold = rankCovered, e.Work, true
 		case e.Within:
 			e.Rank, e.key, e.Hold = rankWithin, -age.Seconds(), true
+		case late[j] == floor.Late:
+			e.Rank, e.key, e.Hold = rankLate, srt, true
 		case age > p.opt.AgeBound:
 			e.Rank, e.key, e.Hold = rankAged, -age.Seconds(), true
 		case p.missed(j, age, e.PerTask):
@@ -334,10 +354,24 @@
 	return list
 }
 
+// late finds the jobs that can keep none of their aims any more, or are past the age bound, and which of
+// them have room of their own now. Those that go ahead in any case are none of them.
+func (p *Planner) late(now time.Time, live []*jobs.Job, room Room, ahead func(*jobs.Job) bool) map[*jobs.Job]floor.Standing {
+	var claims []floor.Claim
+	for _, j := range live {
+		age := now.Sub(j.Submitted)
+		if j.Service || j.Mistaken || ahead(j) || age <= p.opt.AgeBound && !p.missed(j, age, p.PerTask(j)) {
+			continue
+		}
+		claims = append(claims, floor.Claim{Job: j, Work: p.Work(j, now), Startable: room.startable(j)})
+	}
+	return p.floor.Look(now, claims, room.CPUs)
+}
+
 // Standing says why an entry is where it is in the order.
 func (e *Entry) Standing() string {
-	return [...]string{"aged, within the share that is kept", "service", "guaranteed, its plan fits", "within its team's guarantee",
-		"within its team's guarantee, late", "aged", "its team is bound by its limit", "shortest remaining time", "its aims are missed", "its tasks fail wherever they are tried"}[e.Rank]
+	return [...]string{"aged, within the share that is kept", "service", "late, and of a class or team that is served least", "guaranteed, its plan fits", "within its team's guarantee",
+		"within its team's guarantee, late", "late, within the share that is kept", "aged", "its team is bound by its limit", "shortest remaining time", "its aims are missed", "its tasks fail wherever they are tried"}[e.Rank]
 }
 
 // limitBound is how long a team's work must last at its limit for the team to go ahead.
--- /dev/null
+++ b/internal/controller/standing/floor/floor.go
@@ -0,0 +1,258 @@
+// Package floor keeps any one class of jobs, or team, from being left unserved in a long shortage. Its
+// Book owns how many jobs of each class and team were done of late, and which jobs have room of their
+// own at present. It is asked for each order of the jobs and decides nothing else: it never starts,
+// stops or places a task.
+//
+// The rule. A job that can keep none of its aims any more, or is older than the age bound, is late. Late
+// jobs have two shares of the fleet: a small one always, so that what was missed is not missed without
+// end, and a larger one while a class or a team has been served less than the least share of its jobs.
+// Of both goes next whoever would otherwise be served least, and of that class or team the job with the
+// least work left. docs/design/floor.md has the ways that were weighed, and what breaks it.
+package floor
+
+import (
+	"cmp"
+	"maps"
+	"math"
+	"slices"
+	"time"
+
+	"gullrudder/internal/controller/jobs"
+)
+
+// Terms are what the operators have set.
+type Terms struct {
+	Window time.Duration // what was done longer ago counts ever less
+	Least  float64       // share of the jobs of each class and team that is to be done
+	Share  float64       // of the fleet's CPUs, for classes and teams below that
+	Late   float64       // of the fleet's CPUs, for late jobs of any
+}
+
+// Group is a class of jobs, or a team.
+type Group struct {
+	Team bool // a team's; otherwise a class's
+	Name string
+}
+
+// tally is how many jobs were done, what is longer ago counting ever less.
+type tally struct {
+	done float64
+	at   time.Time
+}
+
+func (t *tally) upTo(now time.Time, window time.Duration) float64 {
+	if dt := now.Sub(t.at); dt > 0 && window > 0 {
+		t.done *= math.Exp(-dt.Seconds() / window.Seconds())
+		t.at = now
+	}
+	return t.done
+}
+
+// Claim is a late job and what it needs.
+type Claim struct {
+	Job       *jobs.Job
+	Work      float64 // CPU seconds that are left
+	Startable int     // its tasks that wait and that its team's limit lets run
+}
+
+// Standing is why a late job has room.
+type Standing int
+
+// Standings.
+const (
+	Late   Standing = iota + 1 // within the share that all late jobs have
+	Behind                     // its class or its team is served less than the least
+)
+
+// Book keeps what was served.
+type Book struct {
+	terms  Terms
+	served map[Group]*tally
+	owed   map[*jobs.Job]bool // have, or had, room of their own and still run
+	last   map[Group]Served   // as it was looked at last
+	dirty  bool
+	saveAt time.Time
+}
+
+// Served is how a class or team was served when it was looked at last.
+type Served struct {
+	Group
+	Done  float64 // jobs, of late
+	Late  int     // jobs
+	Owed  int     // of these, such that have room of their own
+	Share float64 // of its jobs, done
+}
+
+// New makes the book of a new leadership.
+func New(t Terms) *Book {
+	return &Book{terms: t, served: map[Group]*tally{}, owed: map[*jobs.Job]bool{}, last: map[Group]Served{}}
+}
+
+// Tune takes other terms.
+func (b *Book) Tune(t Terms) { b.terms = t }
+
+func groups(j *jobs.Job) [2]Group { return [2]Group{{false, j.Class}, {true, j.Team}} }
+
+// Done takes in a job that is done.
+func (b *Book) Done(now time.Time, j *jobs.Job) {
+	delete(b.owed, j)
+	b.dirty = true
+	for _, g := range groups(j) {
+		t := b.served[g]
+		if t == nil {
+			t = &tally{at: now}
+			b.served[g] = t
+		}
+		t.upTo(now, b.terms.Window)
+		t.done++
+	}
+}
+
+// state of a class or team while room is given out.
+type state struct {
+	done    float64 // with those that were given room, as if they were done
+	late    float64 // jobs
+	waiting []int   // claims of the group, those with the least work first
+}
+
+func (s *state) share() float64 {
+	if s.done+s.late <= 0 {
+		return 1
+	}
+	return s.done / (s.done + s.late)
+}
+
+// Look says which late jobs have room of their own now, and why. cpus are the fleet's.
+func (b *Book) Look(now time.Time, claims []Claim, cpus float64) map[*jobs.Job]Standing {
+	b.forget(claims)
+	clear(b.last)
+	if len(claims) == 0 {
+		return nil
+	}
+	list := slices.Clone(claims)
+	slices.SortFunc(list, func(x, y Claim) int {
+		return cmp.Or(cmp.Compare(x.Work, y.Work), x.Job.Submitted.Compare(y.Job.Submitted), cmp.Compare(x.Job.ID, y.Job.ID))
+	})
+	at := map[Group]*state{}
+	used := 0.0
+	for i, c := range list {
+		for _, g := range groups(c.Job) {
+			s := at[g]
+			if s == nil {
+				s = &state{}
+				if t := b.served[g]; t != nil {
+					s.done = t.upTo(now, b.terms.Window)
+				}
+				at[g] = s
+			}
+			s.late++
+			if c.Startable > 0 {
+				s.waiting = append(s.waiting, i)
+			}
+		}
+		if b.owed[c.Job] {
+			used += float64(len(c.Job.Active)) * size(c.Job)
+		}
+	}
+	for g, s := range at {
+		b.last[g] = Served{Group: g, Done: s.done, Late: int(s.late), Share: s.share()}
+	}
+	given := b.give(list, at, used, cpus)
+	for j := range given {
+		b.owed[j] = true
+		for _, g := range groups(j) {
+			s := b.last[g]
+			s.Owed++
+			b.last[g] = s
+		}
+	}
+	return given
+}
+
+// give hands out room, to whoever is served least, until the shares are used up.
+func (b *Book) give(list []Claim, at map[Group]*state, used, cpus float64) map[*jobs.Job]Standing {
+	given := map[*jobs.Job]Standing{}
+	order := slices.SortedFunc(maps.Keys(at), func(x, y Group) int {
+		if x.Team != y.Team {
+			if x.Team {
+				return 1
+			}
+			return -1
+		}
+		return cmp.Compare(x.Name, y.Name)
+	})
+	for {
+		var least *state
+		for _, g := range order {
+			s := at[g]
+			for len(s.waiting) > 0 && given[list[s.waiting[0]].Job] != 0 {
+				s.waiting = s.waiting[1:]
+			}
+			if len(s.waiting) > 0 && (least == nil || s.share() < least.share()) {
+				least = s
+			}
+		}
+		if least == nil {
+			return given
+		}
+		why, limit := Late, b.terms.Late
+		if least.share() < b.terms.Least {
+			why, limit = Behind, max(b.terms.Share, b.terms.Late)
+		}
+		if used >= limit*cpus {
+			return given
+		}
+		c := list[least.waiting[0]]
+		given[c.Job] = why
+		used += float64(c.Startable) * size(c.Job)
+		for _, g := range groups(c.Job) {
+			at[g].done++
+			at[g].late--
+		}
+	}
+}
+
+// size is what a task counts in a share; one that takes no CPU counts a little.
+func size(j *jobs.Job) float64 { return max(j.CPUs, 0.1) }
+
+// forget drops from those with room what is not late any more, and what has nothing of it left.
+func (b *Book) forget(claims []Claim) {
+	if len(b.owed) == 0 {
+		return
+	}
+	late := make(map[*jobs.Job]bool, len(claims))
+	for _, c := range claims {
+		late[c.Job] = true
+	}
+	maps.DeleteFunc(b.owed, func(j *jobs.Job, _ bool) bool { return !late[j] || len(j.Active) == 0 })
+}
+
+// Reserve is the share of the fleet that is not to be promised to others: what late jobs may take now.
+func (b *Book) Reserve() float64 {
+	reserve := 0.0
+	for _, s := range b.last {
+		switch {
+		case s.Owed == 0:
+		case s.Share < b.terms.Least:
+			return max(b.terms.Share, b.terms.Late)
+		default:
+			reserve = b.terms.Late
+		}
+	}
+	return reserve
+}
+
+// Table lists how each class and team was served, as of the last look: those with late jobs, and
+// those of which jobs were done of late.
+func (b *Book) Table(now time.Time) []Served {
+	all := map[Group]Served{}
+	for g, t := range b.served {
+		if d := t.upTo(now, b.terms.Window); d > 0.01 {
+			all[g] = Served{Group: g, Done: d, Share: 1}
+		}
+	}
+	maps.Copy(all, b.last)
+	return slices.SortedFunc(maps.Values(all), func(x, y Served) int {
+		return cmp.Or(cmp.Compare(x.Share, y.Share), cmp.Compare(x.Name, y.Name))
+	})
+}
--- a/internal/controller/takeover/takeover.go
+++ b/internal/controller/takeover/takeover.go
@@ -17,6 +17,7 @@
 	"gullrudder/internal/controller/place"
 	"gullrudder/internal/controller/reports"
 	"gullrudder/internal/controller/settings"
+	"gullrudder/internal/controller/standing/floor"
 	"gullrudder/internal/controller/workers"
 	"gullrudder/internal/wire/outbox"
 )
@@ -35,6 +36,7 @@
 	cloud    *fleet.Cloud
 	clerk    *reports.Clerk
 	placer   *place.Placer
+	floor    *floor.Book
 
 	first    bool               // the ledger was empty: nobody has led before
 	built    bool               // the ledger has been taken over
@@ -61,6 +63,7 @@
 	Cloud    *fleet.Cloud
 	Clerk    *reports.Clerk
 	Placer   *place.Placer
+	Floor    *floor.Book
 	Deaf     func(now time.Time) bool // no machine's report comes through to this controller
 	Box      *outbox.Box
 	Log      *slog.Logger
@@ -69,7 +72,7 @@
 // New begins a takeover with nothing but the ledger to come.
 func New(w World) *Takeover {
 	return &Takeover{cfg: w.Platform, log: w.Log, box: w.Box, token: w.Token, since: w.Since, ledger: w.Ledger, book: w.Book,
-		settings: w.Settings, fleet: w.Fleet, cloud: w.Cloud, clerk: w.Clerk, placer: w.Placer, deaf: w.Deaf}
+		settings: w.Settings, fleet: w.Fleet, cloud: w.Cloud, clerk: w.Clerk, placer: w.Placer, floor: w.Floor, deaf: w.Deaf}
 }
 
 // Close makes answers that are still to come harmless.
@@ -132,6 +135,12 @@
 			t.settings.Restore(decode)
 			return
 		}
+		if name == floor.EntryName {
+			if err := t.floor.Restore(now, decode, t.ledger); err != nil {
+				t.log.Error("what was served cannot be read", "error", err)
+			}
+			return
+		}
 		if id, c, ok := jobs.ChunkOf(name); ok {
 			var v jobs.Chunk
 			if err := decode(&v); err != nil {
