--- /dev/null
+++ b/cmd/gullbench/famine.go
@@ -0,0 +1,75 @@
+package main
+
+import (
+	"fmt"
+	"log/slog"
+	"maps"
+	"slices"
+	"sync"
+
+	"github.com/spf13/cobra"
+
+	"gullrudder/internal/config"
+	"gullrudder/internal/standin"
+)
+
+// all are the shares of all classes.
+func all(served map[string]standin.Portion) string {
+	list := ""
+	for _, name := range slices.Sorted(maps.Keys(served)) {
+		list += fmt.Sprintf(" %s %.2f", name, served[name].Share())
+	}
+	return list
+}
+
+func famineCommand() *cobra.Command {
+	var runs, jobs int
+	var seed uint64
+	tuning := config.DefaultOptions()
+	cmd := &cobra.Command{Use: "famine", Short: "Who is served when most machines are lost for minutes, in virtual time", Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			days, broken := make([]standin.Famine, runs), make([][]string, runs)
+			var wait sync.WaitGroup
+			slots := make(chan struct{}, jobs)
+			for i := range days {
+				wait.Add(1)
+				slots <- struct{}{}
+				go func() {
+					defer func() { <-slots; wait.Done() }()
+					w := standin.New(seed+uint64(i), standin.FamineOptions(tuning), slog.New(slog.DiscardHandler))
+					days[i] = w.Famine()
+					broken[i] = w.Broken
+				}()
+			}
+			wait.Wait()
+			out := cmd.OutOrStdout()
+			rules, leastClass, leastTeam, class, team := 0, 2.0, 2.0, "", ""
+			for i, f := range days {
+				c, cs := standin.Least(f.Classes)
+				t, ts := standin.Least(f.Teams)
+				fmt.Fprintf(out, "seed %d: %d machines, then %d; least served %s %.2f, team %s %.2f;%s\n", seed+uint64(i), f.Seats, f.Left, c, cs, t, ts, all(f.Classes))
+				if cs < leastClass {
+					class, leastClass = c, cs
+				}
+				if ts < leastTeam {
+					team, leastTeam = t, ts
+				}
+				if len(broken[i]) > 0 {
+					rules++
+					fmt.Fprintf(out, "seed %d: a rule is broken: %v\n", seed+uint64(i), broken[i])
+				}
+			}
+			fmt.Fprintf(out, "%d runs, %d rules broken, least served %.2f (by class: %s), %.2f (by team: %s)\n", runs, rules, leastClass, class, leastTeam, team)
+			if rules > 0 {
+				return fmt.Errorf("a rule was broken in %d of %d runs", rules, runs)
+			}
+			return nil
+		}}
+	cmd.Flags().IntVar(&runs, "runs", 20, "how many days")
+	cmd.Flags().IntVar(&jobs, "jobs", 8, "how many days at a time; the result does not depend on it")
+	cmd.Flags().Uint64Var(&seed, "seed", 1, "of the first day")
+	cmd.Flags().Float64Var(&tuning.FloorShare, "floor-share", tuning.FloorShare, "share of the fleet for classes and teams that are served least")
+	cmd.Flags().Float64Var(&tuning.LateShare, "late-share", tuning.LateShare, "share of the fleet for late jobs")
+	cmd.Flags().Float64Var(&tuning.FloorLeast, "floor-least", tuning.FloorLeast, "share of the jobs of each class and team that is to be done")
+	return cmd
+}
--- a/internal/config/options.go
+++ b/internal/config/options.go
@@ -48,7 +48,7 @@
 		Thrift:      0.4,
 		LeaderLease: 1200 * time.Millisecond, Promise: 1200 * time.Millisecond,
 		AgedShare: 0.05, EstimateError: 2,
-		FloorWindow: 10 * time.Minute, FloorLeast: 0.6, FloorShare: 0.2, LateShare: 0.1,
+		FloorWindow: 10 * time.Minute, FloorLeast: 0.7, FloorShare: 0.4, LateShare: 0.1,
 		SealAfter: time.Minute, SealJobs: 128, MergeRuns: 8,
 	}
 }
--- a/internal/controller/standing/floor/floor.go
+++ b/internal/controller/standing/floor/floor.go
@@ -112,6 +112,7 @@
 type state struct {
 	done    float64 // with those that were given room, as if they were done
 	late    float64 // jobs
+	used    float64 // CPUs of the room that was given out
 	waiting []int   // claims of the group, those with the least work first
 }
 
@@ -151,7 +152,11 @@
 			}
 		}
 		if b.owed[c.Job] {
-			used += float64(len(c.Job.Active)) * size(c.Job)
+			has := float64(len(c.Job.Active)) * size(c.Job)
+			used += has
+			for _, g := range groups(c.Job) {
+				at[g].used += has
+			}
 		}
 	}
 	for g, s := range at {
@@ -169,7 +174,8 @@
 	return given
 }
 
-// give hands out room, to whoever is served least, until the shares are used up.
+// give hands out room, to whoever is served least, until the shares are used up. Who floods is served
+// least: a class or team that has half of a share gets more of it only if nobody else wants it.
 func (b *Book) give(list []Claim, at map[Group]*state, used, cpus float64) map[*jobs.Job]Standing {
 	given := map[*jobs.Job]Standing{}
 	order := slices.SortedFunc(maps.Keys(at), func(x, y Group) int {
@@ -182,36 +188,58 @@
 		return cmp.Compare(x.Name, y.Name)
 	})
 	for {
-		var least *state
+		var least, modest *state
 		for _, g := range order {
 			s := at[g]
 			for len(s.waiting) > 0 && given[list[s.waiting[0]].Job] != 0 {
 				s.waiting = s.waiting[1:]
 			}
-			if len(s.waiting) > 0 && (least == nil || s.share() < least.share()) {
+			if len(s.waiting) == 0 {
+				continue
+			}
+			if least == nil || s.share() < least.share() {
 				least = s
 			}
+			if s.used < flood*b.limit(s)*cpus && (modest == nil || s.share() < modest.share()) {
+				modest = s
+			}
 		}
 		if least == nil {
 			return given
 		}
-		why, limit := Late, b.terms.Late
-		if least.share() < b.terms.Least {
-			why, limit = Behind, max(b.terms.Share, b.terms.Late)
+		if modest != nil && (modest.share() < b.terms.Least || least.share() >= b.terms.Least) {
+			least = modest // nobody who is served well enough goes before one who floods and is not
 		}
-		if used >= limit*cpus {
+		if used >= b.limit(least)*cpus {
 			return given
 		}
+		why := Late
+		if least.share() < b.terms.Least {
+			why = Behind
+		}
 		c := list[least.waiting[0]]
 		given[c.Job] = why
-		used += float64(c.Startable) * size(c.Job)
+		needs := float64(c.Startable) * size(c.Job)
+		used += needs
 		for _, g := range groups(c.Job) {
+			at[g].used += needs
 			at[g].done++
 			at[g].late--
 		}
 	}
 }
 
+// flood is which part of a share one class or team gets while others want some of it.
+const flood = 0.5
+
+// limit is the share of the fleet up to which a class or team is given room.
+func (b *Book) limit(s *state) float64 {
+	if s.share() < b.terms.Least {
+		return max(b.terms.Share, b.terms.Late)
+	}
+	return b.terms.Late
+}
+
 // size is what a task counts in a share; one that takes no CPU counts a little.
 func size(j *jobs.Job) float64 { return max(j.CPUs, 0.1) }
 
--- /dev/null
+++ b/internal/standin/famine.go
@@ -0,0 +1,123 @@
+package standin
+
+import (
+	"fmt"
+	"time"
+
+	"gullrudder/internal/config"
+	"gullrudder/internal/controller/jobs"
+)
+
+// Famine is how each class and team was served on a day on which most machines are lost for minutes.
+type Famine struct {
+	Classes, Teams map[string]Portion
+	Seats          int // machines before, and
+	Left           int // during the famine
+}
+
+// Portion is how many of the jobs were done by the end.
+type Portion struct{ Done, All int }
+
+// Share is the part that was done.
+func (p Portion) Share() float64 { return float64(p.Done) / float64(max(p.All, 1)) }
+
+// Least is the least share of any.
+func Least(served map[string]Portion) (name string, share float64) {
+	share = 2
+	for n, p := range served {
+		if s := p.Share(); s < share || s == share && n < name {
+			name, share = n, s
+		}
+	}
+	return name, share
+}
+
+// FamineOptions are a world for a famine: three teams, one of which has no guarantee and the work of
+// lowest priority only, and aims for the classes of the others.
+func FamineOptions(tuning config.Options) Options {
+	return Options{Nodes: 3, ReportEvery: 2 * time.Second, Lease: 12 * time.Second, Cancel: 30 * time.Second, Capacity: 12, AskOnce: true, Sound: true, Unchecked: true,
+		Tuning: tuning, Teams: []config.Team{{Name: "red", CPUs: 80}, {Name: "blue", CPUs: 40, CPULimit: 400}, {Name: "guests", CPULimit: 400}},
+		Settings: func(p *config.Platform) {
+			p.StateRate, p.StateWrites = 400, 60
+			p.Objectives = []config.Objective{
+				{Kind: "deadline", Class: "urgent", Share: 0.95, Times: 1.5},
+				{Kind: "finished", Class: "batch", Within: 90 * time.Second, Share: 0.95},
+				{Kind: "finished", Class: "flood", Within: 120 * time.Second, Share: 0.95},
+				{Kind: "wait", Class: "archive", Within: 150 * time.Second, Share: 0.9},
+			}
+		}}
+}
+
+// famineWork is what is submitted: about as much as all machines can do, one class three times as often
+// for a minute.
+var famineWork = []struct {
+	spec  jobs.Spec
+	run   time.Duration
+	every time.Duration
+}{
+	{jobs.Spec{Class: "urgent", Team: "red", Priority: jobs.High, Tasks: 8, CPUs: 1, Mem: 1, Deadline: 40 * time.Second}, 10 * time.Second, time.Second},
+	{jobs.Spec{Class: "batch", Team: "red", Priority: jobs.Normal, Tasks: 30, CPUs: 1, Mem: 1}, 12 * time.Second, 6 * time.Second},
+	{jobs.Spec{Class: "flood", Team: "blue", Priority: jobs.Normal, Tasks: 20, CPUs: 2, Mem: 2}, 15 * time.Second, 8 * time.Second},
+	{jobs.Spec{Class: "archive", Team: "guests", Priority: jobs.Low, Tasks: 10, CPUs: 4, Mem: 4, Checkpoint: 10 * time.Second, Save: time.Second}, 30 * time.Second, 24 * time.Second},
+	{jobs.Spec{Class: "scan", Team: "guests", Priority: jobs.Low, Tasks: 400, CPUs: 0.25, Mem: 0.5}, 40 * time.Second, time.Hour},
+}
+
+// Famine plays the day: from the first minute on for seven, six in ten of the machines are to be had, the
+// others are taken, machines die, and the leader ends three times.
+func (w *World) Famine() Famine {
+	const begins, lasts, submits, day = time.Minute, 7 * time.Minute, 7 * time.Minute, 510 * time.Second
+	n := 0
+	for _, k := range famineWork {
+		for at := time.Duration(0); at < submits; at += k.every {
+			times := 1
+			if k.spec.Class == "flood" && at >= begins && at < begins+time.Minute {
+				times = 3
+			}
+			for range times {
+				s := k.spec
+				s.ID, s.Image, s.ImageGB, s.Spot, s.Estimate = fmt.Sprintf("job-%07d", n), s.Class, 0.5, true, k.run
+				n++
+				run := time.Duration(float64(k.run) * (0.7 + 0.6*w.Rng.Float64()))
+				w.At(at+time.Duration(w.Rng.Int64N(int64(time.Second))), func() { w.Users.Send(s, run) })
+			}
+		}
+	}
+	f := Famine{}
+	capacity := w.Cloud.capacity
+	w.At(begins, func() {
+		f.Seats = len(w.Cloud.running())
+		w.Cloud.capacity = capacity * 6 / 10
+		for len(w.Cloud.running()) > f.Seats*6/10 {
+			w.Cloud.Take(0)
+		}
+		f.Left = len(w.Cloud.running())
+	})
+	w.At(begins+lasts, func() { w.Cloud.capacity = capacity })
+	for at := begins + 20*time.Second; at < begins+lasts; at += 70 * time.Second {
+		w.At(at, w.Cloud.Die)
+		w.At(at, w.Cloud.Die)
+	}
+	for _, at := range []time.Duration{begins + 30*time.Second, begins + 150*time.Second, begins + 260*time.Second} {
+		w.At(at, func() {
+			for i := range w.nodes {
+				if acting, _ := w.acts(i); acting {
+					w.Crash(i, 4*time.Second)
+				}
+			}
+		})
+	}
+	w.Run(day)
+	f.Classes, f.Teams = map[string]Portion{}, map[string]Portion{}
+	for _, id := range w.Users.ids {
+		j := w.model.jobs[id]
+		done := 0
+		if len(j.done) == j.spec.Tasks {
+			done = 1
+		}
+		for name, of := range map[string]map[string]Portion{j.spec.Class: f.Classes, j.spec.Team: f.Teams} {
+			p := of[name]
+			of[name] = Portion{p.Done + done, p.All + 1}
+		}
+	}
+	return f
+}
