Boots are learned from what was seen, and machines that are late together are waited for

Cause: a machine counted as never up after two and a half times the usual boot time, and one that was overdue as coming in 15 s, however all others did: when all are late together, all were given back and rented anew.

--- a/internal/controller/fleet/fleet.go
+++ b/internal/controller/fleet/fleet.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"time"
 
+	"gullrudder/internal/controller/fleet/boots"
 	"gullrudder/internal/wire/outbox"
 	"gullrudder/internal/wire/packed"
 )
@@ -49,6 +50,7 @@
 	Listed   time.Time // when it was last in a list
 	Deleting bool      // a deletion is on its way
 	Up       bool      // its worker has reported
+	Ours     bool      // this leader has rented it: when, is known
 }
 
 // States in the list.
@@ -104,6 +106,7 @@
 	settled bool // a rental has been answered
 	queue   queue
 	pauseTo time.Time
+	boots   *boots.Book
 	seen    map[string]bool
 	dead    map[string]bool // confirmed deletions; lists that lag still show them
 }
@@ -111,7 +114,7 @@
 // New makes the dealings of a new leadership.
 func New(token uint64, rate float64, lag time.Duration, log *slog.Logger) *Cloud {
 	return &Cloud{token: token, log: log, rate: rate, limit: outbox.NewLimiter(rate*0.95, burst), lag: lag, epoch: new(int),
-		Types: map[string]*Type{}, Hosts: map[string]*Host{}, kinds: map[Kind]*kindState{}, trouble: map[string]int{}, queue: newQueue(token, rate), dead: map[string]bool{}}
+		Types: map[string]*Type{}, Hosts: map[string]*Host{}, kinds: map[Kind]*kindState{}, trouble: map[string]int{}, queue: newQueue(token, rate), boots: boots.New(), dead: map[string]bool{}}
 }
 
 // Close makes answers that are still to come harmless.
@@ -262,10 +265,34 @@
 		h = &Host{ID: id, Addr: addr, Born: now, Kind: kind, State: Running}
 		c.Hosts[id] = h
 	}
+	if t := c.Types[kind.Type]; t != nil && !h.Up && h.Ours {
+		c.boots.Came(kind.Type, now.Sub(h.Born), t.Boot())
+	}
 	h.Up, h.Kind = true, kind
 	h.Listed = now
 }
 
+// Awaits takes in which machines have not come up, by type and age.
+func (c *Cloud) Awaits(ages map[string][]time.Duration) {
+	c.boots.Awaited(ages, func(name string) time.Duration {
+		if t := c.Types[name]; t != nil {
+			return t.Boot()
+		}
+		return 0
+	})
+}
+
+// Boot is how long a machine of the type may be expected to take until it reports, by what was seen of late.
+func (c *Cloud) Boot(t *Type) time.Duration { return c.boots.Expect(t.Name, t.Boot()) }
+
+// BootLeft is how long one of that age may still be expected to take.
+func (c *Cloud) BootLeft(t *Type, age time.Duration) time.Duration {
+	return c.boots.Remaining(t.Name, age, t.Boot())
+}
+
+// GiveUp is after how long one that has not reported is taken for one that never will.
+func (c *Cloud) GiveUp(t *Type) time.Duration { return c.boots.GiveUp(t.Name, t.Boot()) }
+
 func (c *Cloud) kind(k Kind) *kindState {
 	s := c.kinds[k]
 	if s == nil {
@@ -323,7 +350,7 @@
 				s.asking--
 				for _, id := range a.Hosts {
 					if c.Hosts[id] == nil {
-						c.Hosts[id] = &Host{ID: id, Kind: k, Born: now, State: Starting}
+						c.Hosts[id] = &Host{ID: id, Kind: k, Born: now, State: Starting, Ours: true}
 					}
 				}
 				if len(a.Hosts) < n {
--- a/internal/controller/rental/back.go
+++ b/internal/controller/rental/back.go
@@ -65,7 +65,7 @@
 		case h.State == fleet.Failed:
 			reason = "failed"
 		case m == nil:
-			if t != nil && now.Sub(h.Born) > 5*t.Boot()/2+30*time.Second && now.Sub(d.since) > d.fleet.Lease() {
+			if t != nil && now.Sub(h.Born) > d.cloud.GiveUp(t) && now.Sub(d.since) > d.fleet.Lease() {
 				reason = "never up"
 			}
 		case d.held[i].expired:
--- a/internal/controller/rental/dearer.go
+++ b/internal/controller/rental/dearer.go
@@ -22,8 +22,6 @@
 	mostWeighed = 300
 	// grid is to how many seconds the time is rounded at which booting machines begin to serve.
 	grid = 5
-	// overdue is when a machine is expected whose usual boot time is over.
-	overdue = 15 * time.Second
 )
 
 // dearer weighs the kinds that are dearer than the cheapest by what they save: how many of each are
@@ -42,7 +40,7 @@
 	left := d.dearRoom(opts)
 	for i := len(opts) - 1; i >= 0 && isDear[opts[i].kind]; i-- {
 		list := serving[opts[i].kind]
-		if n := o.spares(offerOf(opts[i], len(list))); n > 0 {
+		if n := o.spares(d.offerOf(opts[i], len(list))); n > 0 {
 			for _, m := range list[:n] {
 				m.Draining = workers.Surplus
 			}
@@ -62,7 +60,7 @@
 		if d.mayAsk(now, opt.kind) > 0 && !d.dark(opt.kind.Zone) {
 			may = d.cloud.MostAsked()
 		}
-		f := offerOf(opt, len(again))
+		f := d.offerOf(opt, len(again))
 		if len(again) > 0 {
 			f.boot = 0
 		} else {
@@ -119,12 +117,12 @@
 }
 
 // offerOf is so many machines of an option.
-func offerOf(o option, most int) offer {
+func (d *Desk) offerOf(o option, most int) offer {
 	price := o.typ.Price
 	if o.kind.Spot {
 		price = o.typ.SpotPrice
 	}
-	return offer{cpus: o.typ.CPUs, money: price / 3600, boot: o.typ.Boot().Seconds(), most: most}
+	return offer{cpus: o.typ.CPUs, money: price / 3600, boot: d.cloud.Boot(o.typ).Seconds(), most: most}
 }
 
 // dearMachines lists the machines of dear kinds that are up, the emptiest first: those in use that
@@ -171,10 +169,7 @@
 		case m == nil && d.dark(h.Kind.Zone), d.held[i].expired:
 			continue
 		case m == nil:
-			wait := t.Boot() - now.Sub(h.Born)
-			if wait <= 0 {
-				wait = overdue
-			}
+			wait := d.cloud.BootLeft(t, now.Sub(h.Born))
 			byTime[int(wait.Seconds())/grid+1] += t.CPUs
 		case m.Draining == workers.InUse:
 			byTime[0] += t.CPUs
--- a/internal/controller/rental/desk.go
+++ b/internal/controller/rental/desk.go
@@ -5,7 +5,9 @@
 package rental
 
 import (
+	"cmp"
 	"log/slog"
+	"slices"
 	"sort"
 	"time"
 
@@ -58,10 +60,18 @@
 // gather looks each machine up once for all that a look does.
 func (d *Desk) gather(now time.Time) {
 	d.held = d.held[:0]
+	awaited := map[string][]time.Duration{}
 	for id, h := range d.cloud.Hosts {
 		m := d.fleet.Machines[id]
+		if m == nil && !h.Deleting && h.State != fleet.Failed && !d.dark(h.Kind.Zone) {
+			awaited[h.Kind.Type] = append(awaited[h.Kind.Type], now.Sub(h.Born))
+		}
 		d.held = append(d.held, held{id, h, d.cloud.Types[h.Kind.Type], m, m != nil && d.fleet.Expired(now, m)})
 	}
+	for _, list := range awaited {
+		slices.SortFunc(list, func(a, b time.Duration) int { return cmp.Compare(b, a) })
+	}
+	d.cloud.Awaits(awaited)
 }
 
 // World is what a desk sees of its neighbours.
@@ -125,7 +135,7 @@
 	for _, t := range d.cloud.Types {
 		size := max(t.CPUs, t.Cards*8, 0.1)
 		// A machine is paid for while it boots: spread over the time it is likely to serve.
-		size *= serving.Seconds() / (serving + t.Boot()).Seconds()
+		size *= serving.Seconds() / (serving + d.cloud.Boot(t)).Seconds()
 		for _, z := range t.Zones {
 			list = append(list, option{fleet.KindOf(t, z, false), t, t.Price / size}, option{fleet.KindOf(t, z, true), t, t.SpotPrice / size})
 		}
--- a/internal/controller/rental/room.go
+++ b/internal/controller/rental/room.go
@@ -32,7 +32,7 @@
 				// taken to have as many again, or a few.
 				if k := fleet.KindOf(t, z, spot); d.cloud.Askable(now, k) && !d.dark(z) {
 					r.Growth += float64(max(Growth, held[k])) * t.CPUs
-					r.Boot = max(r.Boot, t.Boot())
+					r.Boot = max(r.Boot, d.cloud.Boot(t))
 				}
 			}
 		}
--- a/internal/controller/requests/explain.go
+++ b/internal/controller/requests/explain.go
@@ -60,7 +60,7 @@
 					if cpus := float64(rental.Growth) * t.CPUs; least == 0 || cpus < least {
 						least = cpus
 					}
-					boot = max(boot, t.Boot())
+					boot = max(boot, d.cloud.Boot(t))
 				}
 			}
 		}
