--- a/internal/standin/waiting_test.go
+++ b/internal/standin/waiting_test.go
@@ -19,7 +19,7 @@
 	opt.Tuning.FloorShare, opt.Tuning.LateShare = 0, 0 // the floor serves the same work by a share of its own
 	w := New(seed, opt, quiet())
 	urgent := func(i int) {
-		w.Users.Send(jobs.Spec{ID: fmt.Sprintf("job-1%05d", i), Class: "urgent", Team: "desk", Priority: jobs.Production, Tasks: 8, CPUs: 1, Mem: 1,
+		w.Users.Send(jobs.Spec{ID: fmt.Sprintf("job-1%05d", i), Class: "urgent", Team: "desk", Priority: jobs.Production, Tasks: 9, CPUs: 1, Mem: 1,
 			Image: "u", ImageGB: 1, Spot: true, Estimate: 12 * time.Second, Deadline: 40 * time.Second}, 12*time.Second)
 	}
 	for i := range 500 {
