--- /dev/null
+++ b/cmd/gullrudder/served.go
@@ -0,0 +1,37 @@
+package main
+
+import (
+	"fmt"
+	"io"
+
+	"github.com/spf13/cobra"
+
+	"gullrudder/internal/controller/requests"
+)
+
+func servedCommand() *cobra.Command {
+	return userCommand("served", "Show which class and which team is served least",
+		"DONE counts jobs of the last minutes, what is longer ago counting ever less; LATE are jobs that can keep none of their\n"+
+			"aims any more. Below the least share (floor-least) a class or team has room ahead of others (floor-share).", cobra.NoArgs,
+		func(a *api, _ []string) error {
+			var list requests.ServedList
+			if err := a.get("/served", &list); err != nil {
+				return err
+			}
+			return a.show(list, func(w io.Writer) { servedTable(w, list) })
+		})
+}
+
+func servedTable(w io.Writer, list requests.ServedList) {
+	fmt.Fprintln(w, "\tNAME\tSERVED\tDONE\tLATE\tWITH ROOM OF THEIR OWN")
+	for _, g := range list.Groups {
+		kind, mark := "class", ""
+		if g.Team {
+			kind = "team"
+		}
+		if g.Share < list.Least {
+			mark = "behind"
+		}
+		fmt.Fprintf(w, "%s\t%s\t%.0f %%\t%.1f\t%d\t%d\t%s\n", kind, g.Name, 100*g.Share, g.Done, g.Late, g.Owed, mark)
+	}
+}
--- a/internal/controller/requests/desk.go
+++ b/internal/controller/requests/desk.go
@@ -80,7 +80,7 @@
 // Method is what a path that a desk serves is asked with, empty if it serves no such path.
 func Method(parts []string) string {
 	switch {
-	case len(parts) == 1 && (parts[0] == "queue" || parts[0] == "account"), len(parts) == 2 && parts[0] == "work":
+	case len(parts) == 1 && (parts[0] == "queue" || parts[0] == "account" || parts[0] == "served"), len(parts) == 2 && parts[0] == "work":
 		return "GET"
 	case len(parts) == 1 && parts[0] == "work", len(parts) == 3 && parts[0] == "work" && parts[2] == "withdraw":
 		return "POST"
@@ -97,6 +97,8 @@
 		d.queue(now, r)
 	case parts[0] == "account":
 		d.account(now, r)
+	case parts[0] == "served":
+		d.served(now, r)
 	case len(parts) == 1:
 		d.submit(now, r)
 	case len(parts) == 2:
