A late job counts as unserved once it is late by a quarter of what it had

Change: only what is late by a quarter of its widest aim, or past the age bound, counts against a share.

--- a/internal/controller/plan/plan.go
+++ b/internal/controller/plan/plan.go
@@ -363,11 +363,27 @@
 		if j.Service || j.Mistaken || ahead(j) || age <= p.opt.AgeBound && !p.missed(j, age, p.PerTask(j)) {
 			continue
 		}
-		claims = append(claims, floor.Claim{Job: j, Work: p.Work(j, now), Startable: room.startable(j)})
+		claims = append(claims, floor.Claim{Job: j, Work: p.Work(j, now), Startable: room.startable(j),
+			Unserved: age > min(5*p.patience(j)/4, p.opt.AgeBound)})
 	}
 	return p.floor.Look(now, claims, room.CPUs)
 }
 
+// patience is how long the job may take by the widest of its aims; without any, the age bound.
+func (p *Planner) patience(j *jobs.Job) time.Duration {
+	most := 3 * j.Deadline / 2
+	if ends := p.doneBy[j.Class]; len(ends) > 0 {
+		most = max(most, ends[len(ends)-1])
+	}
+	if waits := p.waitBy[j.Class]; len(waits) > 0 {
+		most = max(most, waits[len(waits)-1]+p.PerTask(j))
+	}
+	if most <= 0 {
+		return p.opt.AgeBound
+	}
+	return most
+}
+
 // Standing says why an entry is where it is in the order.
 func (e *Entry) Standing() string {
 	return [...]string{"aged, within the share that is kept", "service", "late, and of a class or team that is served least", "guaranteed, its plan fits", "within its team's guarantee",
--- a/internal/controller/standing/floor/floor.go
+++ b/internal/controller/standing/floor/floor.go
@@ -53,6 +53,7 @@
 	Job       *jobs.Job
 	Work      float64 // CPU seconds that are left
 	Startable int     // its tasks that wait and that its team's limit lets run
+	Unserved  bool    // it is late by as long again as it had, and counts against the share of its class and team
 }
 
 // Standing is why a late job has room.
@@ -78,7 +79,7 @@
 type Served struct {
 	Group
 	Done  float64 // jobs, of late
-	Late  int     // jobs
+	Late  int     // jobs that are unserved
 	Owed  int     // of these, such that have room of their own
 	Share float64 // of its jobs, done
 }
@@ -111,7 +112,7 @@
 // state of a class or team while room is given out.
 type state struct {
 	done    float64 // with those that were given room, as if they were done
-	late    float64 // jobs
+	late    float64 // jobs that are unserved
 	used    float64 // CPUs of the room that was given out
 	waiting []int   // claims of the group, those with the least work first
 }
@@ -146,7 +147,9 @@
 				}
 				at[g] = s
 			}
-			s.late++
+			if c.Unserved {
+				s.late++
+			}
 			if c.Startable > 0 {
 				s.waiting = append(s.waiting, i)
 			}
@@ -224,7 +227,9 @@
 		for _, g := range groups(c.Job) {
 			at[g].used += needs
 			at[g].done++
-			at[g].late--
+			if c.Unserved {
+				at[g].late--
+			}
 		}
 	}
 }
