--- a/internal/controller/standing/floor/floor.go
+++ b/internal/controller/standing/floor/floor.go
@@ -4,7 +4,8 @@
 // stops or places a task.
 //
 // The rule. A job that can keep none of its aims any more, or is older than the age bound, is late. Late
-// jobs have two shares of the fleet: a small one always, so that what was missed is not missed without
+// jobs have two shares of the fleet (a job is unserved once it is late by a quarter of what it had: on a rough
+// day many are late and done soon after): a small one always, so that what was missed is not missed without
 // end, and a larger one while a class or a team has been served less than the least share of its jobs.
 // Of both goes next whoever would otherwise be served least, and of that class or team the job with the
 // least work left. docs/design/floor.md has the ways that were weighed, and what breaks it.
@@ -53,7 +54,7 @@
 	Job       *jobs.Job
 	Work      float64 // CPU seconds that are left
 	Startable int     // its tasks that wait and that its team's limit lets run
-	Unserved  bool    // it is late by as long again as it had, and counts against the share of its class and team
+	Unserved  bool    // it is late by so much that it counts against the share of its class and team
 }
 
 // Standing is why a late job has room.
--- a/internal/controller/standing/floor/floor_test.go
+++ b/internal/controller/standing/floor/floor_test.go
@@ -211,6 +211,33 @@
 	}
 }
 
+// Jobs that are late and not yet unserved have the small share only: on the first site's rough day whole
+// classes were late and done soon after, and two fifths of the fleet for them cost others their aims.
+func TestLateIsNotYetUnserved(t *testing.T) {
+	for _, unserved := range []bool{false, true} {
+		b, now := New(terms()), time.Unix(10_000, 0)
+		var claims []Claim
+		for i := range 40 {
+			c := claim(lateJob(i, "c", "t", 1, 1))
+			c.Unserved = unserved
+			claims = append(claims, c)
+		}
+		given := b.Look(now, claims, 100)
+		want := 10
+		if unserved {
+			want = 20
+		}
+		if len(given) != want {
+			t.Errorf("unserved %v: %d of 40 have room, want %d", unserved, len(given), want)
+		}
+		for _, s := range given {
+			if s != Late && !unserved {
+				t.Errorf("a late job's standing is %d", s)
+			}
+		}
+	}
+}
+
 // Room that was given out stays counted while it is used, also when its job has nothing left to start.
 func TestRoomIsCountedWhileItIsUsed(t *testing.T) {
 	b, now := New(terms()), time.Unix(10_000, 0)
