What is known of a zone has a room of its own: zones, with states, evidence and a way back

Change: controller/zones, from rental/zones.go: bright, doubtful, partly away, cut, returning, by which part of a zone's reports is missing and whether other zones are heard; what is cut is not counted on at once, a tenth of its machines is kept to tell of the return, which goes by steps that double, slower after each cut.

--- a/internal/controller/node/node.go
+++ b/internal/controller/node/node.go
@@ -28,6 +28,7 @@
 	"gullrudder/internal/controller/takeover"
 	"gullrudder/internal/controller/timeline"
 	"gullrudder/internal/controller/workers"
+	"gullrudder/internal/controller/zones"
 	"gullrudder/internal/wire/inbox"
 	"gullrudder/internal/wire/outbox"
 	"gullrudder/internal/wire/packed"
@@ -85,6 +86,7 @@
 	rental   *rental.Desk
 	clerk    *reports.Clerk
 	takeover *takeover.Takeover
+	zones    *zones.Book
 	times    *timeline.Log
 	requests *requests.Desk
 	nextLook time.Time // for leases that have ended
@@ -260,6 +262,7 @@
 	}
 	n.election.Hearing().Tick(now, l.takeover.Expected(), l.takeover.Overdue())
 	l.takeover.Tick(now, tickEvery)
+	l.zones.Look(now, n.election.Hearing().Deaf(now), func(take func(zones.Machine)) { l.inZones(now, take) })
 	placing := l.takeover.Placing()
 	if !now.Before(l.nextTime) {
 		l.nextTime = now.Add(n.lookEvery(l.times.Open()))
@@ -273,6 +276,22 @@
 	}
 }
 
+// inZones shows the zones' book every machine. Of one that only an earlier leader has heard the cloud knows
+// the zone.
+func (l *leadership) inZones(now time.Time, take func(zones.Machine)) {
+	for id, m := range l.fleet.Machines {
+		zone := m.Zone
+		if h := l.cloud.Hosts[id]; zone == "" && h != nil {
+			zone = h.Kind.Zone
+		}
+		if zone == "" {
+			continue
+		}
+		take(zones.Machine{Zone: zone, Up: m.Up, Live: (m.Up || m.Rostered) && !l.fleet.Expired(now, m), Answered: m.Answered,
+			Leaving: m.Draining == workers.Silent || m.Draining == workers.Returned, Ear: m.Ear})
+	}
+}
+
 // lookShare is how much of the processor's share may go into seeing what jobs wait for, and
 // lookCost what it takes for a job (measured: BenchmarkLook).
 const (
@@ -313,17 +332,18 @@
 	l.fleet = workers.NewFleet(workers.LeaseEnd(n.cfg.WorkerLease), n.log)
 	l.planner = plan.New(n.opt, n.cfg)
 	l.times = timeline.New(n.metrics, n.log)
+	l.zones = zones.New(n.cfg.ReportEvery, now, n.log)
 	slow := pace.New(n.cfg.ReportEvery)
 	blamed := blame.New()
 	l.book = book.New(book.World{Platform: n.cfg, Options: opt, Ledger: l.ledger, Fleet: l.fleet, Times: l.times, Log: n.log})
 	l.placer = place.NewPlacer(place.World{Platform: n.cfg, Token: token, Jobs: l.book.Jobs, Fleet: l.fleet, Planner: l.planner,
 		Room: func(now time.Time) plan.Room { return l.rental.Room(now) }, Box: &n.box, Log: n.log})
 	l.rental = rental.NewDesk(rental.World{Platform: n.cfg, Options: opt, Token: token, Since: now, First: func() bool { return l.takeover.First() },
-		Cloud: l.cloud, Fleet: l.fleet, Planner: l.planner, Placer: l.placer, Pace: slow, Box: &n.box, Log: n.log})
+		Cloud: l.cloud, Fleet: l.fleet, Planner: l.planner, Placer: l.placer, Pace: slow, Zones: l.zones, Box: &n.box, Log: n.log})
 	l.clerk = reports.NewClerk(reports.World{Platform: n.cfg, Token: token, Ledger: l.ledger, Book: l.book, Fleet: l.fleet, Cloud: l.cloud,
 		Planner: l.planner, Placer: l.placer, Times: l.times, Pace: slow, Blame: blamed, Answers: &n.out, Log: n.log})
 	l.takeover = takeover.New(takeover.World{Platform: n.cfg, Token: token, Since: now, Ledger: l.ledger, Book: l.book, Settings: l.settings,
-		Fleet: l.fleet, Cloud: l.cloud, Clerk: l.clerk, Placer: l.placer, Floor: l.planner.Floor(), Deaf: n.election.Hearing().Deaf, Box: &n.box, Log: n.log})
+		Fleet: l.fleet, Cloud: l.cloud, Clerk: l.clerk, Placer: l.placer, Floor: l.planner.Floor(), Zones: l.zones, Deaf: n.election.Hearing().Deaf, Box: &n.box, Log: n.log})
 	l.requests = requests.NewDesk(requests.World{Platform: n.cfg, Options: opt, Ledger: l.ledger, Book: l.book, Fleet: l.fleet, Cloud: l.cloud,
 		Planner: l.planner, Placer: l.placer, Rental: l.rental, Takeover: l.takeover, Times: l.times, Blame: blamed,
 		Acting: func() bool { return n.lead == l && n.acting }, Answers: &n.out, Box: &n.box, Log: n.log})
--- a/internal/controller/rental/back.go
+++ b/internal/controller/rental/back.go
@@ -69,7 +69,7 @@
 				reason = "never up"
 			}
 		case d.held[i].expired:
-			if now.Sub(m.Answered) > d.fleet.Lease()+patience {
+			if now.Sub(m.Answered) > d.fleet.Lease()+patience && !(m.Ear && d.zones.Away(h.Kind.Zone)) {
 				reason = "lost"
 			}
 		case !m.Up: // on the roster of an earlier leader: its tasks are not known yet
--- a/internal/controller/rental/dearer.go
+++ b/internal/controller/rental/dearer.go
@@ -57,7 +57,7 @@
 		}
 		again := resting[opt.kind]
 		may := 0
-		if d.mayAsk(now, opt.kind) > 0 && !d.dark(opt.kind.Zone) {
+		if d.mayAsk(now, opt.kind) > 0 && !d.zones.Away(opt.kind.Zone) {
 			may = d.cloud.MostAsked()
 		}
 		f := d.offerOf(opt, len(again))
@@ -166,7 +166,7 @@
 			continue
 		}
 		switch {
-		case m == nil && d.dark(h.Kind.Zone), d.held[i].expired:
+		case d.zones.Away(h.Kind.Zone), d.held[i].expired:
 			continue
 		case m == nil:
 			wait := d.cloud.BootLeft(t, now.Sub(h.Born))
--- a/internal/controller/rental/forecast.go
+++ b/internal/controller/rental/forecast.go
@@ -33,9 +33,10 @@
 			continue
 		}
 		switch {
-		case m == nil && !d.dark(h.Kind.Zone):
-			f.add(h.Kind, t)
+		case d.zones.Away(h.Kind.Zone):
+			// What is needed instead is rented at once, not once its machines are given up.
 		case m == nil:
+			f.add(h.Kind, t)
 		case d.held[i].expired || m.Draining != workers.InUse:
 			// Also one that an earlier leader had: three hundred that had died with it were
 			// taken for booting once, for a minute and a half.
--- a/internal/controller/rental/room.go
+++ b/internal/controller/rental/room.go
@@ -19,7 +19,7 @@
 	held := map[fleet.Kind]int{}
 	for id, h := range d.cloud.Hosts {
 		m := d.fleet.Machines[id]
-		if t := d.cloud.Types[h.Kind.Type]; t != nil && !h.Deleting && (m == nil && !d.dark(h.Kind.Zone) || m != nil && !d.fleet.Expired(now, m)) {
+		if t := d.cloud.Types[h.Kind.Type]; t != nil && !h.Deleting && !d.zones.Away(h.Kind.Zone) && (m == nil || !d.fleet.Expired(now, m)) {
 			r.CPUs += t.CPUs
 			held[h.Kind]++
 		}
@@ -30,7 +30,7 @@
 			for _, spot := range []bool{false, true} {
 				// Capacity is not published: a kind that was not refused lately is
 				// taken to have as many again, or a few.
-				if k := fleet.KindOf(t, z, spot); d.cloud.Askable(now, k) && !d.dark(z) {
+				if k := fleet.KindOf(t, z, spot); d.cloud.Askable(now, k) && !d.zones.Away(z) {
 					r.Growth += float64(max(Growth, held[k])) * t.CPUs
 					r.Boot = max(r.Boot, d.cloud.Boot(t))
 				}
--- a/internal/controller/takeover/silence.go
+++ b/internal/controller/takeover/silence.go
@@ -1,6 +1,8 @@
 package takeover
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"gullrudder/internal/controller/fleet"
@@ -77,11 +79,18 @@
 	known := 0
 	deaf := t.deaf(now)
 	t.expected, t.overdue = 0, 0
+	ears := map[string]int{}
 	for id, m := range t.fleet.Machines {
 		if !m.Up && !m.Rostered || m.Draining == workers.Silent || m.Draining == workers.Returned {
 			continue
 		}
 		known++
+		if m.Ear {
+			if m.Ear = t.zones.Away(m.Zone); m.Ear {
+				ears[m.Zone]++
+				continue
+			}
+		}
 		late := now.Sub(m.Answered) >= t.cfg.ReportEvery*5/4+time.Second
 		if !t.fleet.Expired(now, m) {
 			t.expected++
@@ -114,8 +123,28 @@
 	if len(ids) == 0 || len(ids)*3 > known {
 		return
 	}
+	if ids = t.leaveEars(ids, ears); len(ids) == 0 {
+		return
+	}
 	for _, id := range ids {
 		t.fleet.Machines[id].Draining = workers.Silent
 	}
 	t.cloud.Return(now, ids, string(workers.Silent))
 }
+
+// leaveEars keeps some machines of a zone that is cut, those on which the least was lost: their reports tell
+// of its return at once, and they need not boot.
+func (t *Takeover) leaveEars(ids []string, ears map[string]int) []string {
+	slices.SortFunc(ids, func(a, b string) int {
+		return cmp.Or(cmp.Compare(t.fleet.Machines[a].UsedCPU, t.fleet.Machines[b].UsedCPU), cmp.Compare(a, b))
+	})
+	return slices.DeleteFunc(ids, func(id string) bool {
+		m := t.fleet.Machines[id]
+		if ears[m.Zone] >= t.zones.Keep(m.Zone) {
+			return false
+		}
+		ears[m.Zone]++
+		m.Ear = true
+		return true
+	})
+}
--- a/internal/controller/takeover/takeover.go
+++ b/internal/controller/takeover/takeover.go
@@ -19,6 +19,7 @@
 	"gullrudder/internal/controller/settings"
 	"gullrudder/internal/controller/standing/floor"
 	"gullrudder/internal/controller/workers"
+	"gullrudder/internal/controller/zones"
 	"gullrudder/internal/wire/outbox"
 )
 
@@ -37,6 +38,7 @@
 	clerk    *reports.Clerk
 	placer   *place.Placer
 	floor    *floor.Book
+	zones    *zones.Book
 
 	first    bool               // the ledger was empty: nobody has led before
 	built    bool               // the ledger has been taken over
@@ -64,6 +66,7 @@
 	Clerk    *reports.Clerk
 	Placer   *place.Placer
 	Floor    *floor.Book
+	Zones    *zones.Book
 	Deaf     func(now time.Time) bool // no machine's report comes through to this controller
 	Box      *outbox.Box
 	Log      *slog.Logger
@@ -72,7 +75,7 @@
 // New begins a takeover with nothing but the ledger to come.
 func New(w World) *Takeover {
 	return &Takeover{cfg: w.Platform, log: w.Log, box: w.Box, token: w.Token, since: w.Since, ledger: w.Ledger, book: w.Book,
-		settings: w.Settings, fleet: w.Fleet, cloud: w.Cloud, clerk: w.Clerk, placer: w.Placer, floor: w.Floor, deaf: w.Deaf}
+		settings: w.Settings, fleet: w.Fleet, cloud: w.Cloud, clerk: w.Clerk, placer: w.Placer, floor: w.Floor, zones: w.Zones, deaf: w.Deaf}
 }
 
 // Close makes answers that are still to come harmless.
--- a/internal/controller/workers/workers.go
+++ b/internal/controller/workers/workers.go
@@ -36,6 +36,7 @@
 	RoomFrom  time.Time       // no start before this, after a refusal for room
 	Failed    map[string]bool // jobs that ended here with an error
 	HeldFor   *jobs.Job       // the job that its free room is held for
+	Ear       bool            // kept, though silent, to tell of its zone's return
 	Store     Store           // for images
 
 	level, slot int // where it stands in the fleet's levels; level 0: nowhere
