--- a/internal/controller/takeover/takeover_test.go
+++ b/internal/controller/takeover/takeover_test.go
@@ -99,6 +99,74 @@
 	}
 }
 
+// Of a zone that is cut a tenth of the machines is kept, silent or not, those on which the least runs; nothing
+// is placed on these, and they are given up like others once the zone is not cut any more.
+func TestEarsAreKeptInACutZone(t *testing.T) {
+	now := time.Unix(10_000, 0)
+	n := newTakeover(now, 1)
+	const machines, silent = 90, 20
+	for i := range machines {
+		id, zone := fmt.Sprintf("vm-%06d", i), "a"
+		if i < silent {
+			zone = "b"
+		}
+		m := n.fleet.Machine(id)
+		n.fleet.Observe(now, m, &workers.Report{Machine: id, Addr: id, Type: "small", Zone: zone, Session: 1, Seq: 1}, true, n.book.Find)
+		m.Accounted, m.Rostered, m.Answered, m.UsedCPU = true, true, now, float64(i%4)
+		n.fleet.Measure(m, workers.Room{CPUs: 4, Mem: 8}, 1, 1)
+	}
+	step := func(cut bool) (ears, deleted int) {
+		now = now.Add(500 * time.Millisecond)
+		n.allowQuestions(50 * time.Millisecond)
+		n.mayAsk = 100
+		for _, m := range n.fleet.Sorted() {
+			if m.Zone == "a" || !cut && m.Draining == workers.InUse && !m.Ear {
+				m.Answered = now
+			}
+		}
+		n.zones.Look(now, false, func(take func(zones.Machine)) {
+			for _, m := range n.fleet.Sorted() {
+				take(zones.Machine{Zone: m.Zone, Up: true, Live: !n.fleet.Expired(now, m), Answered: m.Answered, Leaving: m.Draining == workers.Silent, Ear: m.Ear})
+			}
+		})
+		n.dropSilent(now)
+		for _, call := range n.box.Take() {
+			call.Done(now, outbox.Result{})
+		}
+		for _, m := range n.fleet.Sorted() {
+			if m.Ear {
+				ears++
+				if place.Usable(jobs.NewJob(jobs.Spec{ID: "job-1", Tasks: 1, CPUs: 1, Spot: true}, now), m) {
+					t.Errorf("a task may be placed on %s, which is away", m.ID)
+				}
+			}
+			if m.Draining == workers.Silent {
+				deleted++
+			}
+		}
+		return ears, deleted
+	}
+	ears, deleted := 0, 0
+	for range 30 {
+		ears, deleted = step(true)
+	}
+	if ears != silent/10 || deleted != silent-silent/10 {
+		t.Fatalf("%d of %d silent machines are kept, %d deleted", ears, silent, deleted)
+	}
+	for _, m := range n.fleet.Sorted() { // one of them tells of the return, the other stays away
+		if m.Ear {
+			m.Answered = now
+			break
+		}
+	}
+	for range 30 {
+		ears, deleted = step(false)
+	}
+	if ears != 0 {
+		t.Errorf("%d machines are kept though their zone has returned", ears)
+	}
+}
+
 // One machine that was taken back without notice held up a takeover of a thousand for 15 s.
 // It is deleted after two questions without an answer, unless a third of all is silent, or no report
 // comes through to this controller at all: on two recorded days a third went after the other.
