--- a/internal/controller/takeover/takeover_test.go
+++ b/internal/controller/takeover/takeover_test.go
@@ -9,6 +9,7 @@
 	"gullrudder/internal/config"
 	"gullrudder/internal/controller/book"
 	"gullrudder/internal/controller/fleet"
+	"gullrudder/internal/controller/jobs"
 	"gullrudder/internal/controller/ledger"
 	"gullrudder/internal/controller/pace"
 	"gullrudder/internal/controller/place"
@@ -99,7 +100,7 @@
 	}
 }
 
-// Of a zone that is cut a tenth of the machines is kept, silent or not, those on which the least runs; nothing
+// Of a zone that is cut a few of the machines are kept, silent or not, those on which the least runs; nothing
 // is placed on these, and they are given up like others once the zone is not cut any more.
 func TestEarsAreKeptInACutZone(t *testing.T) {
 	now := time.Unix(10_000, 0)
--- a/internal/controller/zones/zones.go
+++ b/internal/controller/zones/zones.go
@@ -51,7 +51,8 @@
 	probeEvery = 20 * time.Second
 	// ears is the part of a cut zone's machines that are not given up for their silence: they tell of its
 	// return at once. A machine rented to learn of it comes a boot and up to twenty seconds later.
-	ears = 0.1
+	ears       = 0.03
+	fewestEars = 2
 	// firstStep machines may be rented in a zone that returns, twice as many every stepEvery.
 	firstStep = 8
 	stepEvery = 2 * time.Second
@@ -289,7 +290,7 @@
 	if z == nil || z.state != Cut {
 		return 0
 	}
-	return max(int(ears*float64(z.had)), 1)
+	return max(int(ears*float64(z.had)), fewestEars)
 }
 
 // View is a zone as it is shown.
