--- a/internal/controller/node/node.go
+++ b/internal/controller/node/node.go
@@ -345,7 +345,7 @@
 	l.takeover = takeover.New(takeover.World{Platform: n.cfg, Token: token, Since: now, Ledger: l.ledger, Book: l.book, Settings: l.settings,
 		Fleet: l.fleet, Cloud: l.cloud, Clerk: l.clerk, Placer: l.placer, Floor: l.planner.Floor(), Zones: l.zones, Deaf: n.election.Hearing().Deaf, Box: &n.box, Log: n.log})
 	l.requests = requests.NewDesk(requests.World{Platform: n.cfg, Options: opt, Ledger: l.ledger, Book: l.book, Fleet: l.fleet, Cloud: l.cloud,
-		Planner: l.planner, Placer: l.placer, Rental: l.rental, Takeover: l.takeover, Times: l.times, Blame: blamed,
+		Planner: l.planner, Placer: l.placer, Rental: l.rental, Takeover: l.takeover, Times: l.times, Blame: blamed, Zones: l.zones,
 		Acting: func() bool { return n.lead == l && n.acting }, Answers: &n.out, Box: &n.box, Log: n.log})
 	l.book.OnChange(l.placer.Changed)
 	l.book.OnDone(func(now time.Time, j *jobs.Job) {
--- a/internal/controller/requests/desk.go
+++ b/internal/controller/requests/desk.go
@@ -21,30 +21,32 @@
 	"gullrudder/internal/controller/takeover"
 	"gullrudder/internal/controller/timeline"
 	"gullrudder/internal/controller/workers"
+	"gullrudder/internal/controller/zones"
 	"gullrudder/internal/wire/inbox"
 	"gullrudder/internal/wire/outbox"
 )
 
 // Desk serves users on behalf of a leader.
 type Desk struct {
-	cfg     *config.Platform
-	opt     *config.Options
-	teams   map[string]config.Team
-	log     *slog.Logger
-	out     *inbox.Answers
-	box     *outbox.Box
-	ledger  *ledger.Ledger
-	book    *book.Book
-	fleet   *workers.Fleet
-	cloud   *fleet.Cloud
-	planner *plan.Planner
-	placer  *place.Placer
-	rental  *rental.Desk
-	take    *takeover.Takeover
-	times   *timeline.Log
-	blame   *blame.Book
-	gate    *standing.Gate // bounds the submissions that are not durable yet
-	acting  func() bool    // the leadership is entitled to act
+	cfg      *config.Platform
+	opt      *config.Options
+	teams    map[string]config.Team
+	log      *slog.Logger
+	out      *inbox.Answers
+	box      *outbox.Box
+	ledger   *ledger.Ledger
+	book     *book.Book
+	fleet    *workers.Fleet
+	cloud    *fleet.Cloud
+	planner  *plan.Planner
+	placer   *place.Placer
+	rental   *rental.Desk
+	take     *takeover.Takeover
+	times    *timeline.Log
+	blame    *blame.Book
+	zoneBook *zones.Book
+	gate     *standing.Gate // bounds the submissions that are not durable yet
+	acting   func() bool    // the leadership is entitled to act
 }
 
 // World is what a desk sees of its neighbours.
@@ -61,6 +63,7 @@
 	Takeover *takeover.Takeover
 	Times    *timeline.Log
 	Blame    *blame.Book
+	Zones    *zones.Book
 	Acting   func() bool
 	Answers  *inbox.Answers
 	Box      *outbox.Box
@@ -70,7 +73,7 @@
 // NewDesk makes the desk of a new leadership.
 func NewDesk(w World) *Desk {
 	d := &Desk{cfg: w.Platform, opt: w.Options, teams: w.Platform.TeamsByName(), log: w.Log, out: w.Answers, box: w.Box, ledger: w.Ledger,
-		book: w.Book, fleet: w.Fleet, cloud: w.Cloud, planner: w.Planner, placer: w.Placer, rental: w.Rental, take: w.Takeover, times: w.Times, blame: w.Blame, acting: w.Acting}
+		book: w.Book, fleet: w.Fleet, cloud: w.Cloud, planner: w.Planner, placer: w.Placer, rental: w.Rental, take: w.Takeover, times: w.Times, blame: w.Blame, zoneBook: w.Zones, acting: w.Acting}
 	// What two seconds' changes hold may wait for a commit.
 	rate := d.cfg.StateWrites * float64(max(d.cfg.ValueBytes/jobBytes, 1))
 	d.gate = standing.NewGate(int(2*rate), rate)
@@ -80,7 +83,7 @@
 // Method is what a path that a desk serves is asked with, empty if it serves no such path.
 func Method(parts []string) string {
 	switch {
-	case len(parts) == 1 && (parts[0] == "queue" || parts[0] == "account" || parts[0] == "served"), len(parts) == 2 && parts[0] == "work":
+	case len(parts) == 1 && (parts[0] == "queue" || parts[0] == "account" || parts[0] == "served" || parts[0] == "zones"), len(parts) == 2 && parts[0] == "work":
 		return "GET"
 	case len(parts) == 1 && parts[0] == "work", len(parts) == 3 && parts[0] == "work" && parts[2] == "withdraw":
 		return "POST"
@@ -99,6 +102,8 @@
 		d.account(now, r)
 	case parts[0] == "served":
 		d.served(now, r)
+	case parts[0] == "zones":
+		d.zones(now, r)
 	case len(parts) == 1:
 		d.submit(now, r)
 	case len(parts) == 2:
