--- a/cmd/gullbench/famine.go
+++ b/cmd/gullbench/famine.go
@@ -25,6 +25,7 @@
 func famineCommand() *cobra.Command {
 	var runs, jobs int
 	var seed uint64
+	var atLeast float64
 	tuning := config.DefaultOptions()
 	cmd := &cobra.Command{Use: "famine", Short: "Who is served when most machines are lost for minutes, in virtual time", Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
@@ -63,11 +64,15 @@
 			if rules > 0 {
 				return fmt.Errorf("a rule was broken in %d of %d runs", rules, runs)
 			}
+			if least := min(leastClass, leastTeam); least < atLeast {
+				return fmt.Errorf("only %.2f of a class or team was served, less than %.2f", least, atLeast)
+			}
 			return nil
 		}}
 	cmd.Flags().IntVar(&runs, "runs", 20, "how many days")
 	cmd.Flags().IntVar(&jobs, "jobs", 8, "how many days at a time; the result does not depend on it")
 	cmd.Flags().Uint64Var(&seed, "seed", 1, "of the first day")
+	cmd.Flags().Float64Var(&atLeast, "at-least", 0, "fail if less than this share of any class or team is served")
 	cmd.Flags().Float64Var(&tuning.FloorShare, "floor-share", tuning.FloorShare, "share of the fleet for classes and teams that are served least")
 	cmd.Flags().Float64Var(&tuning.LateShare, "late-share", tuning.LateShare, "share of the fleet for late jobs")
 	cmd.Flags().Float64Var(&tuning.FloorLeast, "floor-least", tuning.FloorLeast, "share of the jobs of each class and team that is to be done")
