Seeds of the long tests of the stand-in play side by side

Cause: under the race detector they were played one after the other, four minutes for all. The assertions stay.

--- a/internal/standin/waiting_test.go
+++ b/internal/standin/waiting_test.go
@@ -51,48 +51,51 @@
 func TestFloodDoesNotStarveWhatWaits(t *testing.T) {
 	t.Parallel()
 	for seed := range uint64(2) {
-		worst, most := map[bool]time.Duration{}, time.Duration(0)
-		for _, kept := range []bool{false, true} {
-			share := 0.15
-			if !kept {
-				share = 0
-			}
-			w := flood(seed, share)
-			w.Run(50 * time.Second)
-			bounds := map[string]time.Duration{}
-			for i := range 6 {
-				id := fmt.Sprintf("job-%06d", i)
-				x := w.explained(id)
-				bounds[id] = time.Duration(x.StartBy * float64(time.Second))
-				if kept {
-					most = max(most, bounds[id])
-				}
-				if kept && bounds[id] == 0 {
-					t.Fatalf("seed %d: no bound is stated for %s: %+v", seed, id, x)
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			worst, most := map[bool]time.Duration{}, time.Duration(0)
+			for _, kept := range []bool{false, true} {
+				share := 0.15
+				if !kept {
+					share = 0
 				}
-				if len(x.Because) == 0 || x.Waiting.Waiting > 0 && x.Position < 1 {
-					t.Errorf("seed %d: %s is not explained: %+v", seed, id, x)
+				w := flood(seed, share)
+				w.Run(50 * time.Second)
+				bounds := map[string]time.Duration{}
+				for i := range 6 {
+					id := fmt.Sprintf("job-%06d", i)
+					x := w.explained(id)
+					bounds[id] = time.Duration(x.StartBy * float64(time.Second))
+					if kept {
+						most = max(most, bounds[id])
+					}
+					if kept && bounds[id] == 0 {
+						t.Fatalf("seed %d: no bound is stated for %s: %+v", seed, id, x)
+					}
+					if len(x.Because) == 0 || x.Waiting.Waiting > 0 && x.Position < 1 {
+						t.Errorf("seed %d: %s is not explained: %+v", seed, id, x)
+					}
 				}
-			}
-			w.Run(450 * time.Second)
-			if len(w.Broken) > 0 {
-				t.Fatalf("seed %d: %v", seed, w.Broken)
-			}
-			for id, bound := range bounds {
-				j := w.model.jobs[id]
-				waited := w.Now.Sub(j.accepted)
-				if !j.began.IsZero() {
-					waited = j.began.Sub(j.accepted)
+				w.Run(450 * time.Second)
+				if len(w.Broken) > 0 {
+					t.Fatalf("seed %d: %v", seed, w.Broken)
 				}
-				worst[kept] = max(worst[kept], waited)
-				if kept && waited > bound {
-					t.Errorf("seed %d: %s waits %v, stated was %v", seed, id, waited, bound)
+				for id, bound := range bounds {
+					j := w.model.jobs[id]
+					waited := w.Now.Sub(j.accepted)
+					if !j.began.IsZero() {
+						waited = j.began.Sub(j.accepted)
+					}
+					worst[kept] = max(worst[kept], waited)
+					if kept && waited > bound {
+						t.Errorf("seed %d: %s waits %v, stated was %v", seed, id, waited, bound)
+					}
 				}
 			}
-		}
-		t.Logf("seed %d: the longest wait is %v without a share and %v with one, stated %v", seed, worst[false].Round(time.Second), worst[true].Round(time.Second), most)
-		if worst[false] < worst[true]*5/4 {
-			t.Errorf("seed %d: the share makes little difference: %v without, %v with it", seed, worst[false], worst[true])
-		}
+			t.Logf("seed %d: the longest wait is %v without a share and %v with one, stated %v", seed, worst[false].Round(time.Second), worst[true].Round(time.Second), most)
+			if worst[false] < worst[true]*5/4 {
+				t.Errorf("seed %d: the share makes little difference: %v without, %v with it", seed, worst[false], worst[true])
+			}
+		})
 	}
 }
