Stand-in: cuts by direction, copies of reports, short absences, 75 s for each accepted job

Change: links cut one way, a controller cut from any set of far sides, reports delivered again after 1 s to four leases, controllers and machines back after 1 to 900 ms (a machine goes on counting its sessions or begins anew), controllers that end at moments of an election; the model counts for each accepted job the time without an answer once all troubles are over, and a job's first start that stands.

--- a/internal/standin/cloud.go
+++ b/internal/standin/cloud.go
@@ -22,6 +22,7 @@
 	capacity int
 	next     int
 	history  []listing
+	copying  time.Time // until when reports are delivered a second time
 }
 
 type listing struct {
@@ -50,6 +51,7 @@
 	tasks   map[string]*onMachine
 	notice  time.Time
 	faulty  bool // every task fails on it
+	life    int  // outdates the loop of an earlier life
 }
 
 type onMachine struct {
@@ -209,6 +211,7 @@
 	if list := c.running(); len(list) > 0 {
 		list[c.w.Rng.IntN(len(list))].hangs = c.w.Now.Add(span)
 	}
+	c.w.trouble(span)
 }
 
 // CutMachine cuts a machine off from every controller.
@@ -279,12 +282,12 @@
 }
 
 func (m *machine) start() {
-	if m.gone {
+	if m.gone || m.dead {
 		return
 	}
 	m.up = true
 	m.granted = m.w.Now
-	m.loop()
+	m.loop(m.life)
 }
 
 // checkLease ends the session when the lease is over.
@@ -297,14 +300,17 @@
 	}
 }
 
-func (m *machine) loop() {
+func (m *machine) loop(life int) {
 	m.whenAwake(func() {
+		if m.life != life {
+			return
+		}
 		m.checkLease()
 		if !m.busy {
 			m.send()
 		}
 		every := m.w.Opt.ReportEvery
-		m.w.At(every*3/4+time.Duration(m.w.Rng.Int64N(int64(every/2))), m.loop)
+		m.w.At(every*3/4+time.Duration(m.w.Rng.Int64N(int64(every/2))), func() { m.loop(life) })
 	})
 }
 
@@ -355,6 +361,7 @@
 			next()
 		}
 	})
+	m.w.Cloud.copyOf(raw)
 	there, ok := m.w.travel(m.id, host)
 	if !ok {
 		return
@@ -438,6 +445,7 @@
 			if t == nil || t.attempt != c.Attempt || t.state == workers.StateExited {
 				continue
 			}
+			m.w.model.stopped(t)
 			saves := m.w.model.saves(key) && c.Grace != nil && *c.Grace >= 1 && t.state == workers.StateRunning
 			if saves {
 				t.state = workers.StateSaving
--- a/internal/standin/leaders.go
+++ b/internal/standin/leaders.go
@@ -77,7 +77,7 @@
 		for i := range w.nodes {
 			acting, placing := w.acts(i)
 			someActs, somePlaces = someActs || acting, somePlaces || placing
-			someAccept = someAccept || acting && !w.State.refuses(nodeName(i)) && !w.Now.Before(w.cuts[nodeName(i)+"|state"])
+			someAccept = someAccept || acting && !w.State.refuses(nodeName(i)) && !w.Now.Before(w.cutUntil(nodeName(i), "state"))
 		}
 		if !someActs {
 			g.Acting += step
--- a/internal/standin/model.go
+++ b/internal/standin/model.go
@@ -24,7 +24,10 @@
 	cancelled time.Time // when its user was told
 	finished  time.Time // when its user was told that it is done
 	asked     bool      // its user asked to cancel it
-	began     time.Time // when its first task ran
+	sent      time.Time // when it was first submitted
+	began     time.Time // when its first task ran that was not stopped within startStands
+	firstBy   uint64    // the attempt that this was
+	answered  time.Time // when a question about it was answered last
 	tried     bool      // it was submitted at least once
 	mistaken  bool      // all of its tasks fail
 	starts    int
@@ -75,7 +78,7 @@
 		return
 	}
 	if j.began.IsZero() {
-		j.began = m.w.Now
+		j.began, j.firstBy = m.w.Now, t.attempt
 	}
 	if t.key.Task >= j.spec.Tasks {
 		m.w.breakRule("an impossible task runs: %s", t.key)
@@ -204,6 +207,37 @@
 	if j.accepted.IsZero() {
 		j.accepted = m.w.Now
 	}
+	j.answered = m.w.Now
+}
+
+// startStands is for how long a task must not be stopped for its start to count.
+const startStands = 30 * time.Second
+
+// stopped is called when a command stops a task.
+func (m *model) stopped(t *onMachine) {
+	j := m.jobs[t.key.Job]
+	if j != nil && !j.asked && !j.began.IsZero() && j.firstBy == t.attempt && m.w.Now.Sub(j.began) < startStands {
+		j.began = time.Time{}
+	}
+}
+
+// answeredWithin is how long no question about an accepted job may go unanswered once all troubles are over,
+// however others fare.
+const answeredWithin = 75 * time.Second
+
+// unanswered takes in that a question about a job got no answer.
+func (m *model) unanswered(id string) {
+	j := m.jobs[id]
+	if j == nil || j.accepted.IsZero() {
+		return
+	}
+	since := j.answered
+	if m.w.calm.After(since) {
+		since = m.w.calm
+	}
+	if m.w.Now.Sub(since) > answeredWithin {
+		m.w.breakRule("forgotten: no question about %s was answered for %v", id, m.w.Now.Sub(since).Round(time.Second))
+	}
 }
 
 func (m *model) mustBeGone(id string) {
--- a/internal/standin/rules_test.go
+++ b/internal/standin/rules_test.go
@@ -111,9 +111,11 @@
 type trouble struct {
 	at, span   time.Duration
 	kind, node int
+	from       int           // far sides
+	soon       time.Duration // until what ends is back
 }
 
-const troubleKinds = 12
+const troubleKinds = 20
 
 func (x trouble) strike(w *World) {
 	name := nodeName(x.node)
@@ -144,6 +146,29 @@
 		w.Cloud.Take(time.Duration(x.node) * 3 * time.Second)
 	case 11:
 		w.Cloud.Die()
+	case 12: // reports arrive, answers and commands do not
+		w.Cloud.Unhear(1+x.node*2, x.node == 0, x.span)
+	case 13:
+		w.Cloud.Copy(x.span)
+	case 14:
+		w.CutFrom(x.node, x.from, x.span)
+	case 15: // the state service and the other controllers, but not the workers
+		w.CutFrom(x.node, FromState|FromControllers, x.span)
+	case 16:
+		w.Crash(x.node, x.soon)
+	case 17:
+		for i := range w.Opt.Nodes {
+			w.Crash(i, x.soon)
+		}
+	case 18:
+		w.Cloud.Restart(x.soon, x.node > 0)
+	case 19: // amid an election, which has to begin first
+		w.EndAt(x.from%moments, x.span, x.soon)
+		if x.node == 0 {
+			w.State.Refuse(w.State.leader(), 3*time.Second)
+		} else {
+			w.State.Outage(4 * time.Second)
+		}
 	}
 }
 
@@ -154,6 +179,8 @@
 			span: time.Duration(rapid.IntRange(500, 25_000).Draw(t, "span")) * time.Millisecond,
 			kind: rapid.IntRange(0, troubleKinds-1).Draw(t, "kind"),
 			node: rapid.IntRange(0, 2).Draw(t, "node"),
+			from: rapid.IntRange(1, 1<<farSides-1).Draw(t, "from"),
+			soon: time.Duration(rapid.IntRange(1, 900).Draw(t, "soon")) * time.Millisecond,
 		}
 	}), 1, 10).Draw(t, "troubles")
 }
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -56,6 +56,7 @@
 // Outage serves nobody for a while; afterwards every lease has its full time again.
 func (s *StateService) Outage(span time.Duration) {
 	s.outage = s.w.Now.Add(span)
+	s.w.trouble(span)
 	for _, l := range s.leases {
 		l.ends = s.outage.Add(l.ttl)
 	}
@@ -67,6 +68,7 @@
 // Refuse answers one node with 503 for a while.
 func (s *StateService) Refuse(node string, span time.Duration) {
 	s.refusing[node] = s.w.Now.Add(span)
+	s.w.trouble(span)
 }
 
 func (s *StateService) expire(id uint64) {
--- /dev/null
+++ b/internal/standin/troubles.go
@@ -0,0 +1,186 @@
+package standin
+
+import (
+	"strings"
+	"time"
+
+	"gullrudder/internal/controller/leader"
+	"gullrudder/internal/wire/outbox"
+	"gullrudder/internal/wire/packed"
+)
+
+// Far sides that a controller can be cut off from, alone or together.
+const (
+	FromState = 1 << iota
+	FromControllers
+	FromWorkers
+	FromUsers
+	FromCloud
+	farSides = iota
+)
+
+// apart is a controller that is cut off from some far sides.
+type apart struct {
+	from  int
+	until time.Time
+}
+
+// side is which far side of a controller a host is.
+func side(host string) int {
+	switch {
+	case host == "state":
+		return FromState
+	case host == "cloud":
+		return FromCloud
+	case host == "user":
+		return FromUsers
+	case strings.HasPrefix(host, "vm-"):
+		return FromWorkers
+	}
+	return FromControllers
+}
+
+// CutFrom cuts a controller off from any set of far sides, both ways.
+func (w *World) CutFrom(i, from int, span time.Duration) {
+	w.apart[nodeName(i)] = apart{from, w.Now.Add(span)}
+	w.trouble(span)
+}
+
+// cutUntil is until when what goes from one host to the other does not get through.
+func (w *World) cutUntil(from, to string) time.Time {
+	until := w.cuts[from+"|"+to]
+	for _, ends := range [...][2]string{{from, to}, {to, from}} {
+		if a, ok := w.apart[ends[0]]; ok && a.from&side(ends[1]) != 0 && a.until.After(until) {
+			until = a.until
+		}
+	}
+	return until
+}
+
+// trouble notes that something is wrong for so long.
+func (w *World) trouble(span time.Duration) {
+	if until := w.Now.Add(span); until.After(w.calm) {
+		w.calm = until
+	}
+}
+
+// CutOneWay cuts what goes from one host to another; the way back stays open.
+func (w *World) CutOneWay(from, to string, span time.Duration) {
+	w.cuts[from+"|"+to] = w.Now.Add(span)
+	w.trouble(span)
+}
+
+// Unhear lets up to so many machines hear nobody: their reports arrive, answers and commands do not reach
+// them. leaderOnly: only what the leader sends is lost.
+func (c *Cloud) Unhear(count int, leaderOnly bool, span time.Duration) {
+	list := c.running()
+	c.w.Rng.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	for _, m := range list[:min(count, len(list))] {
+		for i := range c.w.Opt.Nodes {
+			if name := nodeName(i); !leaderOnly || name == c.w.State.leader() {
+				c.w.CutOneWay(name, m.id, span)
+			}
+		}
+	}
+}
+
+// Copy delivers half of the reports that are sent from now on for a while once more, up to four leases later, to any
+// controller.
+func (c *Cloud) Copy(span time.Duration) {
+	c.copying = c.w.Now.Add(span)
+	c.w.trouble(span + 4*c.w.Opt.Lease + time.Second)
+}
+
+// copyOf delivers a report again, if reports are copied at present. Nobody hears the answer.
+func (c *Cloud) copyOf(raw []byte) {
+	if !c.w.Now.Before(c.copying) || c.w.Rng.IntN(2) == 0 {
+		return
+	}
+	late := time.Second + time.Duration(c.w.Rng.Int64N(int64(4*c.w.Opt.Lease)))
+	host := nodeName(c.w.Rng.IntN(c.w.Opt.Nodes))
+	c.w.At(late, func() { c.w.request(host, false, "POST", "/v1/report", raw, func(int, any) {}) })
+}
+
+// Restart ends a machine with all that is on it and starts it again soon, under its name. It goes on counting
+// its sessions, or begins again at the first.
+func (c *Cloud) Restart(back time.Duration, counts bool) {
+	if list := c.running(); len(list) > 0 {
+		list[c.w.Rng.IntN(len(list))].restart(back, counts)
+	}
+	c.w.trouble(back)
+}
+
+func (m *machine) restart(back time.Duration, counts bool) {
+	m.clear()
+	m.up, m.busy, m.token, m.seq = false, false, 0, 0
+	m.life++
+	m.flight++
+	if counts {
+		m.session++
+	} else {
+		m.session = 1
+	}
+	m.w.At(back, m.start)
+}
+
+// Moments of an election at which a controller can end.
+const (
+	campaignSent = iota
+	keyWritten   // and the answer is lost
+	promiseGiven
+	yieldSent
+	moments
+)
+
+// trap ends a controller at a moment of an election, once.
+type trap struct {
+	moment int
+	until  time.Time
+	back   time.Duration
+}
+
+// EndAt ends the first controller that comes to the moment within a while; it is back soon.
+func (w *World) EndAt(moment int, within, back time.Duration) {
+	w.traps = append(w.traps, trap{moment, w.Now.Add(within), back})
+	w.trouble(within + back)
+}
+
+// came is told of the moments; who comes to one with a trap ends.
+func (w *World) came(moment int, name string) {
+	for k, t := range w.traps {
+		if t.moment != moment || w.Now.After(t.until) {
+			continue
+		}
+		w.traps = append(w.traps[:k:k], w.traps[k+1:]...)
+		for i := range w.nodes {
+			if nodeName(i) == name {
+				w.Crash(i, t.back)
+			}
+		}
+		return
+	}
+}
+
+// momentOf is the moment of an election that a call is, -1 for none.
+func momentOf(call outbox.Call, body []byte) int {
+	switch {
+	case call.Service == outbox.State && call.Path == "/leases" && call.Method == "POST":
+		return campaignSent
+	case call.Service == outbox.State && call.Path == "/commit":
+		var t struct {
+			Apply []struct {
+				Write string `msgpack:"write"`
+			} `msgpack:"apply"`
+		}
+		if packed.Unmarshal(body, &t) == nil && len(t.Apply) == 1 && t.Apply[0].Write == leader.Key {
+			return keyWritten
+		}
+	case call.Service == outbox.Peer && call.Path == "/peer/hello":
+		var h leader.Hello
+		if packed.Unmarshal(body, &h) == nil && h.Yield != 0 {
+			return yieldSent
+		}
+		return promiseGiven
+	}
+	return -1
+}
--- a/internal/standin/users.go
+++ b/internal/standin/users.go
@@ -86,7 +86,7 @@
 
 // Send submits a job whose tasks run for so long.
 func (u *Users) Send(s jobs.Spec, run time.Duration) {
-	u.w.model.jobs[s.ID] = &modelJob{spec: s, run: run, done: map[int]bool{}}
+	u.w.model.jobs[s.ID] = &modelJob{spec: s, run: run, done: map[int]bool{}, sent: u.w.Now}
 	u.ids = append(u.ids, s.ID)
 	u.submit(s, u.w.Now)
 }
@@ -155,6 +155,8 @@
 			u.w.model.told(id, state, asked)
 		case 404:
 			u.w.model.missing(id, asked, status)
+		default:
+			u.w.model.unanswered(id)
 		}
 		again := 3 * time.Second
 		if state == "done" || state == "cancelled" {
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -30,7 +30,10 @@
 	Cloud   *Cloud
 	Users   *Users
 	model   *model
-	cuts    map[string]time.Time // link -> until when it is cut
+	cuts    map[string]time.Time // from|to -> until when nothing gets through
+	apart   map[string]apart     // controllers that are cut off from far sides
+	traps   []trap
+	calm    time.Time // when all troubles so far are over
 	started time.Time
 	stepped time.Duration // real time that the owners have taken
 	longest time.Duration // of these steps
@@ -94,7 +97,7 @@
 // New makes a world whose controllers have just started.
 func New(seed uint64, opt Options, log *slog.Logger) *World {
 	start := time.Unix(1_000_000, 0)
-	w := &World{Now: start, started: start, Rng: rand.New(rand.NewPCG(seed, 7)), Opt: opt, cuts: map[string]time.Time{}, Log: log}
+	w := &World{Now: start, started: start, Rng: rand.New(rand.NewPCG(seed, 7)), Opt: opt, cuts: map[string]time.Time{}, apart: map[string]apart{}, calm: start, Log: log}
 	w.State = newStateService(w)
 	w.Cloud = newCloud(w)
 	w.model = newModel(w)
@@ -181,11 +184,15 @@
 	}
 	c.node = nil
 	c.gen++
+	w.trouble(back)
 	w.At(back, func() { w.boot(c) })
 }
 
 // Pause keeps a controller from doing anything for a while, as when it gets no processor.
-func (w *World) Pause(i int, span time.Duration) { w.nodes[i].paused = w.Now.Add(span) }
+func (w *World) Pause(i int, span time.Duration) {
+	w.nodes[i].paused = w.Now.Add(span)
+	w.trouble(span)
+}
 
 // deliver hands a command to a controller's queue.
 func (w *World) deliver(c *controller, cmd node.Command) {
@@ -231,15 +238,15 @@
 
 // Cut holds everything between two hosts back for a while.
 func (w *World) Cut(a, b string, span time.Duration) {
-	w.cuts[a+"|"+b] = w.Now.Add(span)
-	w.cuts[b+"|"+a] = w.Now.Add(span)
+	w.CutOneWay(a, b, span)
+	w.CutOneWay(b, a, span)
 }
 
 // travel is how long a message takes, or false if it never comes. What is sent into a cut
 // is lost or comes after the cut, however late that is.
 func (w *World) travel(from, to string) (time.Duration, bool) {
 	d := time.Duration(200+w.Rng.IntN(3000)) * time.Microsecond
-	if until, ok := w.cuts[from+"|"+to]; ok && w.Now.Before(until) {
+	if until := w.cutUntil(from, to); w.Now.Before(until) {
 		if w.Rng.Float64() < w.Opt.Late {
 			return until.Sub(w.Now) + d, true
 		}
@@ -281,7 +288,16 @@
 	if !ok {
 		return
 	}
+	moment := momentOf(call, body)
 	answer := func(status int, body any) {
+		switch moment {
+		case keyWritten:
+			if status == 200 {
+				w.came(keyWritten, c.cfg.Name)
+			}
+		case promiseGiven:
+			w.came(promiseGiven, call.Addr)
+		}
 		raw, err := encode(body)
 		if err != nil {
 			w.breakRule("an answer cannot be encoded: %v", err)
@@ -291,6 +307,9 @@
 			w.At(back, func() { settle(outbox.Result{Status: status, Body: raw}) })
 		}
 	}
+	if moment == campaignSent || moment == yieldSent {
+		w.came(moment, c.cfg.Name)
+	}
 	w.At(there, func() {
 		switch call.Service {
 		case outbox.State:
