What each direction of a link has shown: copies get no 200, starts only to who hears, deafness is asked

Change: workers/reach says of each report whether it is new, overtaken, not proven or a copy; what a copy says counts nowhere, and a new machine gets starts once an answer on a connection of our own shows that it hears us (asked while it is enrolled). Direct answers are signs of life; a leader is deaf only if machines that it asks do not answer. Machines that report and do not answer get no starts and are given back; what begins to count anew is told from copies by its answers.

--- a/internal/controller/leader/hearing/hearing.go
+++ b/internal/controller/leader/hearing/hearing.go
@@ -32,6 +32,10 @@
 	// lostShare is which part of the machines may be overdue before the leader takes the silence for its own,
 	// though some are heard: those that have booted since, say. Half of a site may be lost with a zone.
 	lostShare = 2.0 / 3
+	// counted is for how long an answer to a question, or the want of one, tells of the link; mostAsked bounds
+	// what is kept of them.
+	counted   = 3 * time.Second
+	mostAsked = 256
 	// shy is how long who was not heard leaves the next leadership to others.
 	shy = 30 * time.Second
 )
@@ -46,11 +50,19 @@
 	overdue  int            // of these, those whose reports are missing for longer than they ever take
 	callers  map[string]int // by the other controllers, workers that came to them instead
 	deafAt   time.Time      // when a leadership of ours ended for that
+	asked    []question     // of late
 
 	warnedTo time.Time // as a follower: until when the leader is known to hear nobody
 	came     map[string]time.Time
 }
 
+// question is what became of one that was put to a machine directly.
+type question struct {
+	at       time.Time
+	missed   bool // its reports were missing
+	answered bool
+}
+
 // New makes the hearing of a process. every is how often a worker reports.
 func New(every time.Duration) *Hearing {
 	return &Hearing{every: every, callers: map[string]int{}, came: map[string]time.Time{}}
@@ -62,6 +74,7 @@
 	clear(h.callers)
 	h.warnedTo = time.Time{}
 	clear(h.came)
+	h.asked = nil
 }
 
 // Reported is a report that has come to the leader.
@@ -76,9 +89,17 @@
 	h.ticked, h.expected, h.overdue = now, expected, overdue
 }
 
-// Deaf reports whether the leader hears none of its machines, for so long that it is no chance, and at
+// Asked takes in whether a machine answered a question of ours. missed: its reports were missing then.
+func (h *Hearing) Asked(now time.Time, missed, answered bool) {
+	h.asked = append(h.asked, question{now, missed, answered})
+	for len(h.asked) > mostAsked || now.Sub(h.asked[0].at) > counted {
+		h.asked = h.asked[1:]
+	}
+}
+
+// Suspects reports whether the leader hears none of its machines, for so long that it is no chance, and at
 // most for as long as every one of them should have reported; or so few that the others cannot all be lost.
-func (h *Hearing) Deaf(now time.Time) bool {
+func (h *Hearing) Suspects(now time.Time) bool {
 	if h.expected < fewCallers {
 		return false // one lost report, and the worker asks elsewhere: no reason to hand over
 	}
@@ -87,6 +108,50 @@
 	return now.Sub(h.heard) >= max(min(some, all), leastGap) || float64(h.overdue) >= lostShare*float64(h.expected)
 }
 
+// Doubts reports whether some of the machines are to be asked directly: it may be we who are not reached. So many
+// that call elsewhere do not hear what we answer.
+func (h *Hearing) Doubts(now time.Time) bool { return h.Suspects(now) || h.elsewhere() }
+
+// Warns reports whether workers had better not be sent here for now: the silence is not explained yet.
+func (h *Hearing) Warns(now time.Time) bool {
+	yes, no := h.answers(now, func(question) bool { return true })
+	return h.Suspects(now) && 4*yes <= no || h.Deaf(now)
+}
+
+// Deaf reports whether the leader is cut off from the workers, in one direction at least: machines that are asked
+// directly do not answer, those whose reports are missing if it hears too little, those that do report if
+// many call elsewhere. Without the questions a new leader took the time in which the workers waited for
+// the one before for a failure of its own, and handed over a sound leadership (docs/incidents: inc-1518, inc-98a2).
+func (h *Hearing) Deaf(now time.Time) bool {
+	return h.Suspects(now) && h.unanswered(now, true) || h.elsewhere() && h.unanswered(now, false)
+}
+
+// elsewhere reports whether many workers call another controller.
+func (h *Hearing) elsewhere() bool {
+	_, most := h.called()
+	return h.expected >= fewCallers && most >= h.need()
+}
+
+// unanswered reports whether the questions of late to machines whose reports were missing, or were not, found no answers.
+func (h *Hearing) unanswered(now time.Time, missed bool) bool {
+	yes, no := h.answers(now, func(q question) bool { return q.missed == missed })
+	return no >= fewCallers && 4*yes <= no
+}
+
+// answers counts the questions of late that were answered, and those that were not.
+func (h *Hearing) answers(now time.Time, counts func(question) bool) (yes, no int) {
+	for _, q := range h.asked {
+		switch {
+		case now.Sub(q.at) > counted || !counts(q):
+		case q.answered:
+			yes++
+		default:
+			no++
+		}
+	}
+	return yes, no
+}
+
 // Told takes in how many workers came to another controller of late.
 func (h *Hearing) Told(peer string, callers int) { h.callers[peer] = callers }
 
@@ -96,17 +161,24 @@
 	if !h.Deaf(now) {
 		return ""
 	}
-	need := max(fewCallers, int(callersShare*float64(h.expected)))
-	best, most := "", 0
+	best, most := h.called()
+	if most < h.need() {
+		return ""
+	}
+	return best
+}
+
+// need is how many workers have to call elsewhere.
+func (h *Hearing) need() int { return max(fewCallers, int(callersShare*float64(h.expected))) }
+
+// called is the controller to which the most workers came of late, and how many.
+func (h *Hearing) called() (best string, most int) {
 	for peer, n := range h.callers {
 		if n > most || n == most && peer < best {
 			best, most = peer, n
 		}
 	}
-	if most < need {
-		return ""
-	}
-	return best
+	return best, most
 }
 
 // Yielded records that a leadership was handed over for want of hearing.
@@ -119,7 +191,6 @@
 func (h *Hearing) Warned(now time.Time, deaf bool) {
 	if !deaf {
 		h.warnedTo = time.Time{}
-		clear(h.came)
 		return
 	}
 	h.warnedTo = now.Add(warned)
@@ -130,7 +201,7 @@
 
 // Called is a worker's report to a controller that does not lead.
 func (h *Hearing) Called(now time.Time, machine string) {
-	if h.Withheld(now) && len(h.came) < mostCallers {
+	if len(h.came) < mostCallers {
 		h.came[machine] = now
 	}
 }
--- a/internal/controller/leader/hearing/hearing_test.go
+++ b/internal/controller/leader/hearing/hearing_test.go
@@ -33,13 +33,25 @@
 				}
 			}
 			h.Tick(now, machines, 0)
-			if h.Deaf(now) {
+			if h.Suspects(now) {
 				found = now
 			}
 		}
 		took := found.Sub(cut)
 		if most := max(every*5/4+time.Second, 0); found.IsZero() || took < 0 || took > most || machines == 1000 && took > 1200*time.Millisecond {
-			t.Errorf("%d machines: deaf after %v", machines, took)
+			t.Errorf("%d machines: suspects after %v", machines, took)
+		}
+		if h.Deaf(found) {
+			t.Error("deaf before any machine was asked")
+		}
+		for range 3 {
+			h.Asked(found, true, false)
+		}
+		if !h.Deaf(found) || h.Deaf(found.Add(counted+1)) {
+			t.Error("not deaf though nobody answers, or for ever")
+		}
+		if h.Asked(found, true, true); h.Deaf(found) {
+			t.Error("deaf though a machine answered")
 		}
 	}
 }
@@ -55,6 +67,31 @@
 		h.Begin(now)
 		h.Tick(now, c.machines, c.overdue)
 		h.Reported(now)
+		if got := h.Suspects(now); got != c.want {
+			t.Errorf("%+v: suspects %v", c, got)
+		}
+	}
+}
+
+// Machines that report and do not answer hear nothing of us; that many of them call elsewhere is the second
+// kind of evidence. Neither alone hands a leadership over.
+func TestHeardAndNotObeyed(t *testing.T) {
+	for _, c := range []struct {
+		callers, answer, silent int
+		want                    bool
+	}{{60, 0, 8, true}, {60, 2, 8, true}, {60, 3, 8, false}, {40, 0, 8, false}, {60, 0, 2, false}} {
+		h, now := New(every), time.Unix(1000, 0)
+		h.Begin(now)
+		h.Tick(now, 400, 0)
+		h.Reported(now)
+		h.Told("b", c.callers)
+		for range c.answer {
+			h.Asked(now, false, true)
+		}
+		for range c.silent {
+			h.Asked(now, false, false)
+			h.Asked(now, true, false) // the dead ones tell nothing here
+		}
 		if got := h.Deaf(now); got != c.want {
 			t.Errorf("%+v: deaf %v", c, got)
 		}
@@ -68,8 +105,8 @@
 	h.Tick(now, 100, 0)
 	now = now.Add(20 * time.Second)
 	h.Tick(now, 100, 0)
-	if h.Deaf(now) {
-		t.Error("deaf for a time in which it stood still")
+	if h.Suspects(now) {
+		t.Error("suspects for a time in which it stood still")
 	}
 }
 
@@ -97,6 +134,7 @@
 		for range 200 {
 			now = now.Add(50 * time.Millisecond)
 			h.Tick(now, c.machines, 0)
+			h.Asked(now, true, false)
 		}
 		if got := h.Successor(now); got != c.want {
 			t.Errorf("%+v: handed to %q", c, got)
@@ -104,32 +142,26 @@
 	}
 }
 
-// A follower counts workers only while the leader says that it hears none, and names it again as soon
-// as it does.
+// A follower counts the workers that came of late, and does not send them to a leader that says that it hears
+// none, until it hears again.
 func TestCallers(t *testing.T) {
 	h, now := New(every), time.Unix(1000, 0)
-	h.Called(now, "vm-0")
-	if h.Callers(now) != 0 || h.Withheld(now) {
-		t.Error("a worker that was sent to the leader counts")
-	}
-	h.Warned(now, true)
 	for i := range 7 {
 		h.Called(now, fmt.Sprint("vm-", i))
 		h.Called(now.Add(time.Second), fmt.Sprint("vm-", i))
 	}
-	if n := h.Callers(now.Add(time.Second)); n != 7 || !h.Withheld(now.Add(time.Second)) {
+	if n := h.Callers(now.Add(time.Second)); n != 7 || h.Withheld(now) {
 		t.Errorf("%d of 7 callers", n)
 	}
-	if h.Withheld(now.Add(warned)) {
-		t.Error("a leader that is silent itself is not named for ever")
-	}
 	if n := h.Callers(now.Add(time.Second + remembered + 1)); n != 0 {
 		t.Errorf("%d callers are remembered for ever", n)
 	}
 	h.Warned(now, true)
-	h.Called(now, "vm-1")
+	if !h.Withheld(now) || h.Withheld(now.Add(warned)) {
+		t.Error("a leader that is deaf is named, or one that is silent itself not named for ever")
+	}
 	h.Warned(now, false)
-	if h.Callers(now) != 0 || h.Withheld(now) {
+	if h.Withheld(now) {
 		t.Error("a leader that hears again is not named")
 	}
 }
--- a/internal/controller/leader/promises.go
+++ b/internal/controller/leader/promises.go
@@ -83,7 +83,7 @@
 		pr.asking = true
 		epoch, sent := e.epoch, now
 		box.Add(outbox.Call{Service: outbox.Peer, Addr: p.Addr, Method: "POST", Path: "/peer/hello",
-			Body: Hello{Name: e.opt.Name, Token: e.token, Doubt: e.doubts(now), Deaf: e.hearing.Deaf(now)}, Timeout: e.opt.Promise / 3,
+			Body: Hello{Name: e.opt.Name, Token: e.token, Doubt: e.doubts(now), Deaf: e.hearing.Warns(now)}, Timeout: e.opt.Promise / 3,
 			Done: func(now time.Time, r outbox.Result) {
 				if e.epoch != epoch {
 					return
--- a/internal/controller/node/node.go
+++ b/internal/controller/node/node.go
@@ -28,6 +28,7 @@
 	"gullrudder/internal/controller/takeover"
 	"gullrudder/internal/controller/timeline"
 	"gullrudder/internal/controller/workers"
+	"gullrudder/internal/controller/workers/reach"
 	"gullrudder/internal/controller/zones"
 	"gullrudder/internal/wire/inbox"
 	"gullrudder/internal/wire/outbox"
@@ -202,19 +203,20 @@
 func (n *Node) report(now time.Time, r *inbox.Request) {
 	hearing := n.election.Hearing()
 	if !n.acting {
+		// That the worker came here is what the leader has to know.
+		if id, ok := workers.NameIn(r.Body); ok {
+			hearing.Called(now, id)
+		}
 		to := n.election.Leader(now)
 		if hearing.Withheld(now) {
-			// The leader would not hear it. That the worker came here is what the leader has to know.
-			to = ""
-			if id, ok := workers.NameIn(r.Body); ok {
-				hearing.Called(now, id)
-			}
+			to = "" // the leader would not hear it
 		}
 		n.out.Reply(r, 421, workers.Elsewhere{Leader: to}, 0)
 		return
 	}
-	hearing.Reported(now)
-	n.lead.clerk.Report(now, r, n.lead.takeover.Built())
+	if n.lead.clerk.Report(now, r, n.lead.takeover.Built()) {
+		hearing.Reported(now)
+	}
 }
 
 func (n *Node) only(r *inbox.Request, method string, f func()) {
@@ -262,7 +264,7 @@
 	}
 	n.election.Hearing().Tick(now, l.takeover.Expected(), l.takeover.Overdue())
 	l.takeover.Tick(now, tickEvery)
-	l.zones.Look(now, n.election.Hearing().Deaf(now), func(take func(zones.Machine)) { l.inZones(now, take) })
+	l.zones.Look(now, n.election.Hearing().Suspects(now), func(take func(zones.Machine)) { l.inZones(now, take) })
 	placing := l.takeover.Placing()
 	if !now.Before(l.nextTime) {
 		l.nextTime = now.Add(n.lookEvery(l.times.Open()))
@@ -287,7 +289,7 @@
 		if zone == "" {
 			continue
 		}
-		take(zones.Machine{Zone: zone, Up: m.Up, Live: (m.Up || m.Rostered) && !l.fleet.Expired(now, m), Answered: m.Answered,
+		take(zones.Machine{Zone: zone, Up: m.Up, Live: (m.Up || m.Rostered) && !l.fleet.Expired(now, m), Heard: m.Heard,
 			Leaving: m.Draining == workers.Silent || m.Draining == workers.Returned, Ear: m.Ear})
 	}
 }
@@ -334,6 +336,7 @@
 	l.times = timeline.New(n.metrics, n.log)
 	l.zones = zones.New(n.cfg.ReportEvery, now, n.log)
 	slow := pace.New(n.cfg.ReportEvery)
+	links := reach.New(token, n.cfg.WorkerLease, n.log)
 	blamed := blame.New()
 	l.book = book.New(book.World{Platform: n.cfg, Options: opt, Ledger: l.ledger, Fleet: l.fleet, Times: l.times, Log: n.log})
 	l.placer = place.NewPlacer(place.World{Platform: n.cfg, Token: token, Jobs: l.book.Jobs, Fleet: l.fleet, Planner: l.planner,
@@ -341,9 +344,9 @@
 	l.rental = rental.NewDesk(rental.World{Platform: n.cfg, Options: opt, Token: token, Since: now, First: func() bool { return l.takeover.First() },
 		Cloud: l.cloud, Fleet: l.fleet, Planner: l.planner, Placer: l.placer, Pace: slow, Zones: l.zones, Box: &n.box, Log: n.log})
 	l.clerk = reports.NewClerk(reports.World{Platform: n.cfg, Token: token, Ledger: l.ledger, Book: l.book, Fleet: l.fleet, Cloud: l.cloud,
-		Planner: l.planner, Placer: l.placer, Times: l.times, Pace: slow, Blame: blamed, Answers: &n.out, Log: n.log})
+		Planner: l.planner, Placer: l.placer, Times: l.times, Pace: slow, Blame: blamed, Reach: links, Answers: &n.out, Log: n.log})
 	l.takeover = takeover.New(takeover.World{Platform: n.cfg, Token: token, Since: now, Ledger: l.ledger, Book: l.book, Settings: l.settings,
-		Fleet: l.fleet, Cloud: l.cloud, Clerk: l.clerk, Placer: l.placer, Floor: l.planner.Floor(), Zones: l.zones, Deaf: n.election.Hearing().Deaf, Box: &n.box, Log: n.log})
+		Fleet: l.fleet, Cloud: l.cloud, Clerk: l.clerk, Placer: l.placer, Floor: l.planner.Floor(), Zones: l.zones, Reach: links, Hearing: n.election.Hearing(), Box: &n.box, Log: n.log})
 	l.requests = requests.NewDesk(requests.World{Platform: n.cfg, Options: opt, Ledger: l.ledger, Book: l.book, Fleet: l.fleet, Cloud: l.cloud,
 		Planner: l.planner, Placer: l.placer, Rental: l.rental, Takeover: l.takeover, Times: l.times, Blame: blamed, Zones: l.zones,
 		Acting: func() bool { return n.lead == l && n.acting }, Answers: &n.out, Box: &n.box, Log: n.log})
--- a/internal/controller/place/gangs.go
+++ b/internal/controller/place/gangs.go
@@ -62,7 +62,7 @@
 	byZone := map[string][]*workers.Machine{}
 	var zones []string
 	for _, m := range p.fleet.Sorted() {
-		if m.Accounted && m.Rostered && Usable(j, m) && now.Sub(m.Answered) < 2*p.cfg.ReportEvery && m.Fits(j) > 0 {
+		if m.Accounted && m.Rostered && Usable(j, m) && now.Sub(m.Heard) < 2*p.cfg.ReportEvery && m.Fits(j) > 0 {
 			if byZone[m.Zone] == nil {
 				zones = append(zones, m.Zone)
 			}
--- a/internal/controller/place/place.go
+++ b/internal/controller/place/place.go
@@ -86,9 +86,9 @@
 
 // Usable reports whether tasks of the job may be started on the machine if there is room. On one that is kept
 // to tell of its zone's return none may: its room looked free, and nothing was held elsewhere for jobs that
-// had waited long.
+// had waited long. Nor on one that seems to hear nothing of us.
 func Usable(j *jobs.Job, m *workers.Machine) bool {
-	return m.Draining == workers.InUse && !m.Ear && m.CPUs+m.Mem > 0 && (len(m.Failed) == 0 || !m.Failed[j.ID]) && KindAllowed(j, Kind(m))
+	return m.Draining == workers.InUse && !m.Ear && !m.Unreached && m.CPUs+m.Mem > 0 && (len(m.Failed) == 0 || !m.Failed[j.ID]) && KindAllowed(j, Kind(m))
 }
 
 // Fuller reports whether a is the better place to pack onto than b.
--- a/internal/controller/place/placer_test.go
+++ b/internal/controller/place/placer_test.go
@@ -73,7 +73,7 @@
 func (p *Placer) plainFuller(now time.Time, j *jobs.Job, m *workers.Machine) int {
 	room := 0
 	for _, o := range p.fleet.Machines {
-		if o != m && o.Up && o.Accounted && o.Rostered && now.Sub(o.Answered) < 2*p.cfg.ReportEvery && !now.Before(o.RoomFrom) &&
+		if o != m && o.Up && o.Accounted && o.Rostered && now.Sub(o.Heard) < 2*p.cfg.ReportEvery && !now.Before(o.RoomFrom) &&
 			Fuller(o, m) && Usable(j, o) && (o.HeldFor == nil || o.HeldFor == j) {
 			room += min(o.Fits(j), ZoneRoom(j, o.Zone))
 		}
--- a/internal/controller/place/preempt.go
+++ b/internal/controller/place/preempt.go
@@ -75,7 +75,7 @@
 		if !m.Accounted {
 			continue
 		}
-		fresh := now.Sub(m.Answered) <= 2*p.cfg.ReportEvery
+		fresh := now.Sub(m.Heard) <= 2*p.cfg.ReportEvery
 		o := opening{m: m}
 		for _, a := range m.Attempts {
 			switch {
--- a/internal/controller/place/starts.go
+++ b/internal/controller/place/starts.go
@@ -131,7 +131,7 @@
 			if most--; most < 0 || room >= want {
 				return min(room, want)
 			}
-			if o != m && o.Accounted && o.Rostered && now.Sub(o.Answered) < 2*p.cfg.ReportEvery && !now.Before(o.RoomFrom) &&
+			if o != m && o.Accounted && o.Rostered && now.Sub(o.Heard) < 2*p.cfg.ReportEvery && !now.Before(o.RoomFrom) &&
 				(level > m.LevelOf() || Fuller(o, m)) && Usable(j, o) && (o.HeldFor == nil || o.HeldFor == j) {
 				room += min(o.Fits(j), ZoneRoom(j, o.Zone))
 			}
--- a/internal/controller/place/world_test.go
+++ b/internal/controller/place/world_test.go
@@ -52,7 +52,7 @@
 		r.Tasks = append(r.Tasks, workers.TaskReport{Task: a.Key.String(), Attempt: a.Number, State: workers.StateRunning})
 	}
 	p.fleet.Observe(now, m, r, true, func(id string) *jobs.Job { return p.jobs[id] })
-	m.Answered = now
+	m.Answered, m.Heard = now, now
 }
 
 // lose takes all tasks off a machine; they are started again.
--- a/internal/controller/rental/desk_test.go
+++ b/internal/controller/rental/desk_test.go
@@ -61,7 +61,7 @@
 		rep.Tasks = append(rep.Tasks, workers.TaskReport{Task: a.Key.String(), Attempt: a.Number, State: workers.StateRunning})
 	}
 	r.fleet.Observe(now, m, rep, true, func(id string) *jobs.Job { return r.jobs[id] })
-	m.Answered = now
+	m.Answered, m.Heard = now, now
 }
 
 func (r *room) addJob(now time.Time, i, tasks int, cpus float64) *jobs.Job {
@@ -157,7 +157,7 @@
 		id := fmt.Sprintf("vm-%06d", i)
 		d.cloud.Hosts[id] = &fleet.Host{ID: id, Kind: fleet.Kind{Type: "large", Zone: "a", Spot: true}, Born: now.Add(-time.Minute), State: fleet.Running}
 		m := d.fleet.Machine(id)
-		m.Rostered, m.Answered = true, now // when the leadership began
+		m.Rostered, m.Answered, m.Heard = true, now, now // when the leadership began
 	}
 	d.addJob(now, 2, 96, 1)
 	asked := func() int {
--- a/internal/controller/rental/worth_test.go
+++ b/internal/controller/rental/worth_test.go
@@ -206,7 +206,7 @@
 	for range 30 {
 		now = now.Add(time.Second)
 		for _, m := range d.fleet.Machines {
-			m.Answered = now
+			m.Answered, m.Heard = now, now
 		}
 		d.size(now)
 		d.cloud.Tick(now, d.box)
@@ -272,12 +272,12 @@
 		now = now.Add(time.Second)
 		for _, m := range d.fleet.Machines {
 			if m.Zone == heard || heard == "ab" {
-				m.Answered = now
+				m.Answered, m.Heard = now, now
 			}
 		}
 		d.zones.Look(now, false, func(take func(zones.Machine)) {
 			for _, m := range d.fleet.Machines {
-				take(zones.Machine{Zone: m.Zone, Up: true, Live: !d.fleet.Expired(now, m), Answered: m.Answered})
+				take(zones.Machine{Zone: m.Zone, Up: true, Live: !d.fleet.Expired(now, m), Heard: m.Heard})
 			}
 		})
 		d.gather(now)
--- a/internal/controller/reports/answer.go
+++ b/internal/controller/reports/answer.go
@@ -5,6 +5,7 @@
 
 	"gullrudder/internal/controller/jobs"
 	"gullrudder/internal/controller/workers"
+	"gullrudder/internal/controller/workers/reach"
 )
 
 // enrolWait is how long a new machine's report may wait for its place on the roster.
@@ -15,20 +16,30 @@
 	list := c.list
 	c.list = nil
 	for _, p := range list {
-		if p.fresh && p.m.Enrolling && placing && now.Sub(p.at) < enrolWait {
-			// Its place on the roster is being written; with that it gets tasks at once.
+		if p.is == reach.Unproven && c.reach.Vouched(now, p.m, p.rep) {
+			p.is = reach.Fresh
+			c.enrol(now, p.m, p.rep)
+		}
+		waits := p.is == reach.Fresh && p.m.Enrolling || p.is == reach.Unproven && !p.m.Rostered && !p.m.Up
+		if waits && placing && now.Sub(p.at) < enrolWait {
+			// It is asked whether it hears us, or its place on the roster is being written; with that it gets
+			// tasks at once.
 			c.list = append(c.list, p)
 			continue
 		}
 		// The same machine may have reported twice; only its newest report gets starts.
 		ans := workers.Answer{Token: c.token, Commands: []workers.Command{}}
-		if p.fresh {
+		if p.is == reach.Fresh {
 			c.saveBeforeNotice(now, p.m)
 			ans.Commands = append(ans.Commands, c.orders(now, p.m, p.rep)...)
-			if placing && p.rep.Seq == p.m.Seq && p.rep.Session == p.m.Session {
-				ans.Commands = append(ans.Commands, c.placer.Starts(now, p.m, mostCommands-len(ans.Commands))...)
+			if c.reach.Newest(p.m, p.rep) {
+				if placing && c.reach.Hears(p.m) {
+					ans.Commands = append(ans.Commands, c.placer.Starts(now, p.m, mostCommands-len(ans.Commands))...)
+				}
+				c.reach.Answered(p.m)
 			}
 		}
+		p.m.Answered = now
 		c.out.Reply(p.req, 200, ans, 0)
 	}
 }
--- a/internal/controller/reports/clerk.go
+++ b/internal/controller/reports/clerk.go
@@ -18,6 +18,7 @@
 	"gullrudder/internal/controller/reports/blame"
 	"gullrudder/internal/controller/timeline"
 	"gullrudder/internal/controller/workers"
+	"gullrudder/internal/controller/workers/reach"
 	"gullrudder/internal/wire/inbox"
 	"gullrudder/internal/wire/packed"
 )
@@ -32,11 +33,11 @@
 
 // pending is a report that waits for its answer.
 type pending struct {
-	req   *inbox.Request
-	m     *workers.Machine
-	rep   *workers.Report
-	fresh bool // newer than all before, and made under our token
-	at    time.Time
+	req *inbox.Request
+	m   *workers.Machine
+	rep *workers.Report
+	is  reach.Verdict
+	at  time.Time
 }
 
 // Clerk is a leader's dealings with reports.
@@ -54,6 +55,7 @@
 	times   *timeline.Log
 	pace    *pace.Book
 	blame   *blame.Book
+	reach   *reach.Book
 	list    []pending
 }
 
@@ -70,6 +72,7 @@
 	Times    *timeline.Log
 	Pace     *pace.Book
 	Blame    *blame.Book
+	Reach    *reach.Book
 	Answers  *inbox.Answers
 	Log      *slog.Logger
 }
@@ -77,7 +80,7 @@
 // NewClerk makes the clerk of a new leadership.
 func NewClerk(w World) *Clerk {
 	return &Clerk{cfg: w.Platform, log: w.Log, out: w.Answers, token: w.Token, ledger: w.Ledger, book: w.Book, fleet: w.Fleet, cloud: w.Cloud,
-		planner: w.Planner, placer: w.Placer, times: w.Times, pace: w.Pace, blame: w.Blame}
+		planner: w.Planner, placer: w.Placer, times: w.Times, pace: w.Pace, blame: w.Blame, reach: w.Reach}
 }
 
 // TurnAway refuses the reports that still wait for an answer.
@@ -92,34 +95,36 @@
 const mostCommands = 300
 
 // Report takes in a report; its answer goes out at the end of the step. Before the ledger is read
-// (built) nothing in it is believed.
-func (c *Clerk) Report(now time.Time, r *inbox.Request, built bool) {
+// (built) nothing in it is believed. It says whether the machine lived just now: a copy does not tell.
+func (c *Clerk) Report(now time.Time, r *inbox.Request, built bool) (lives bool) {
 	var rep workers.Report
 	if err := packed.Unmarshal(r.Body, &rep); err != nil || rep.Machine == "" || len(rep.Machine) > workers.LongestName || rep.Session == 0 {
 		c.out.Refuse(r, 400, "no report", 0)
-		return
+		return false
 	}
 	if rep.Token > c.token || c.cloud.Dead(rep.Machine) || len(c.fleet.Machines) > 20000 {
 		c.out.Refuse(r, 503, "not now", 0)
-		return
+		return false
 	}
-	known := c.fleet.Machines[rep.Machine] != nil
 	m := c.fleet.Machine(rep.Machine)
-	if built && !known {
-		m.Fresh = true
+	is := reach.Unproven
+	if built {
+		is = c.reach.Report(now, m, &rep)
+	}
+	if is == reach.Copy {
+		// With a 200 a machine that is no more would keep its tasks for as long as copies of its reports come.
+		c.out.Refuse(r, 503, "an older report", 0)
+		return false
 	}
 	m.Answered = now
-	fresh := built && (rep.Token == c.token || m.Fresh) && m.Newer(&rep)
-	if fresh {
-		// Only a worker that has seen our token is believed: what an earlier leader
-		// still sends it has no effect any more, and the report was made after that.
-		// The exception is a machine of which the roster says that it never had a task.
+	if is == reach.Fresh {
+		// Only a worker that has seen our token is believed: what an earlier leader still sends it has no
+		// effect any more, and the report was made after that.
 		c.Observe(now, m, &rep, true)
-	}
-	if built {
 		c.enrol(now, m, &rep)
 	}
-	c.list = append(c.list, pending{r, m, &rep, fresh, now})
+	c.list = append(c.list, pending{r, m, &rep, is, now})
+	return is == reach.Fresh
 }
 
 // enrol writes down that the machine may hold tasks, before it gets any.
@@ -148,7 +153,9 @@
 
 // Observe takes in what is on a machine; whole is false for the answer to a direct command.
 func (c *Clerk) Observe(now time.Time, m *workers.Machine, rep *workers.Report, whole bool) {
-	c.Ended(now, m, c.fleet.Observe(now, m, rep, whole, c.book.Find))
+	ended := c.fleet.Observe(now, m, rep, whole, c.book.Find)
+	c.reach.Ended(now, m, ended)
+	c.Ended(now, m, ended)
 	if !m.Accounted {
 		m.Accounted = true
 		c.log.Debug("machine accounted for", "machine", m.ID, "tasks", len(m.Attempts))
--- a/internal/controller/takeover/silence.go
+++ b/internal/controller/takeover/silence.go
@@ -14,8 +14,6 @@
 const (
 	// askAgain is how long a worker has to answer before it is asked again.
 	askAgain = time.Second
-	// unheard is after how many questions without an answer a machine counts as silent.
-	unheard = 2
 	// askPerShare is how many workers a second a whole processor could ask. A question is a
 	// connection and two messages, taken for half a millisecond at most; at this rate half of
 	// our share is left to reports, users and the renewal.
@@ -28,21 +26,26 @@
 	t.mayAsk = min(t.mayAsk+rate*every.Seconds(), float64(t.cfg.Connections)/24)
 }
 
-// ask sends a worker the empty command, unless it was asked shortly before or the budget
+// ask sends a worker the empty command, unless it was asked shortly before; false if the budget
 // is used up. It raises the worker's token, so that nothing of an earlier leader is executed
 // any more, and its answer is the worker's report.
-func (t *Takeover) ask(now time.Time, m *workers.Machine) {
+func (t *Takeover) ask(now time.Time, m *workers.Machine) bool {
 	// A question that finds no socket of ours must not look like a worker's silence.
-	if t.mayAsk < 1 || t.asking >= t.cfg.Connections/16 || m.Addr == "" || now.Before(m.AskAt) {
-		return
+	if t.mayAsk < 1 || t.asking >= t.cfg.Connections/16 {
+		return false
+	}
+	if m.Addr == "" || !t.reach.Due(now, m) {
+		return true
 	}
 	t.mayAsk--
-	m.AskAt = now.Add(askAgain)
-	t.question(m, max(m.Session, 1), 3)
+	t.question(now, m, max(m.Session, 1), 3)
+	return true
 }
 
-func (t *Takeover) question(m *workers.Machine, session uint64, tries int) {
+func (t *Takeover) question(now time.Time, m *workers.Machine, session uint64, tries int) {
 	t.asking++
+	q := t.reach.Ask(now, m)
+	missed := t.late(now, m) || t.hearing.Suspects(now)
 	t.box.Add(outbox.Call{Service: outbox.Worker, Addr: m.Addr, Method: "POST", Path: "/commands",
 		Body: workers.Direct{Token: t.token, Session: session, Commands: []workers.Command{}}, Timeout: askAgain,
 		Done: func(now time.Time, res outbox.Result) {
@@ -52,14 +55,17 @@
 			t.asking--
 			var r workers.Report
 			if res.Status != 200 && res.Status != 409 || packed.Unmarshal(res.Body, &r) != nil || r.Machine != m.ID {
-				m.Unheard++
+				t.reach.NoAnswer(now, m)
+				t.hearing.Asked(now, missed, false)
 				return
 			}
-			m.Unheard, m.Heard = 0, now
-			switch {
+			t.hearing.Asked(now, missed, true)
+			switch reborn := t.reach.Answer(now, m, q, &r); {
+			case reborn:
+				t.clerk.Ended(now, m, t.fleet.Clear(m))
 			case res.Status == 409:
 				if tries > 0 && r.Token <= t.token && !m.Accounted {
-					t.question(m, r.Session, tries-1)
+					t.question(now, m, r.Session, tries-1)
 				}
 			case !m.Accounted && r.Token == t.token && m.Newer(&r):
 				t.clerk.Observe(now, m, &r, false)
@@ -67,6 +73,46 @@
 		}})
 }
 
+// late reports whether nothing certain has come of the machine for longer than its reports take.
+func (t *Takeover) late(now time.Time, m *workers.Machine) bool {
+	return now.Sub(m.Heard) >= t.cfg.ReportEvery*5/4+time.Second
+}
+
+// askWanted asks the machines of which it is in doubt whether they hear us.
+func (t *Takeover) askWanted(now time.Time) {
+	for _, m := range t.reach.Wanted() {
+		if t.fleet.Machines[m.ID] == m && !t.ask(now, m) {
+			t.reach.Want(m)
+		}
+	}
+}
+
+// sample is how many machines are asked directly, twice a second, while the silence may be our own.
+const sample = 4
+
+// askSample asks some of the machines, others each time: what they answer tells whether it is we who are not reached.
+// If only callers elsewhere are the reason, those that report are asked.
+func (t *Takeover) askSample(now time.Time) {
+	if now.Before(t.nextSample) || !t.hearing.Doubts(now) {
+		return
+	}
+	t.nextSample = now.Add(askAgain / 2)
+	missed := t.hearing.Suspects(now)
+	list := t.fleet.Sorted()
+	left := sample
+	for range list {
+		t.sampled++
+		m := list[t.sampled%len(list)]
+		if left == 0 {
+			return
+		}
+		if m.Up && m.Draining == workers.InUse && !t.fleet.Expired(now, m) && (missed || !t.late(now, m)) && t.reach.Due(now, m) {
+			left--
+			t.ask(now, m)
+		}
+	}
+}
+
 // dropSilent asks the machines whose reports are missing and deletes those that do not
 // answer: the cloud's answer tells that their tasks are gone well before their leases do,
 // and a takeover need not wait for them. Where many fall silent at once it is rather we who
@@ -77,7 +123,7 @@
 func (t *Takeover) dropSilent(now time.Time) {
 	var ids, failed []string
 	known := 0
-	deaf := t.deaf(now)
+	ours := t.hearing.Suspects(now)
 	t.expected, t.overdue = 0, 0
 	ears := map[string]int{}
 	for id, m := range t.fleet.Machines {
@@ -91,10 +137,10 @@
 				continue
 			}
 		}
-		late := now.Sub(m.Answered) >= t.cfg.ReportEvery*5/4+time.Second
+		late := t.late(now, m)
 		if !t.fleet.Expired(now, m) {
 			t.expected++
-			if late {
+			if late || m.Unreached {
 				t.overdue++
 			}
 		}
@@ -103,17 +149,13 @@
 			failed = append(failed, id)
 			continue
 		}
-		if deaf {
+		if ours {
 			continue
 		}
-		if !late {
-			if m.Accounted {
-				m.Unheard = 0
-			}
-		} else if now.Sub(m.Heard) > askAgain {
+		if late || t.reach.Doubted(m) {
 			t.ask(now, m)
 		}
-		if m.Unheard >= unheard {
+		if t.reach.Silent(now, m) {
 			ids = append(ids, id)
 		}
 	}
--- a/internal/controller/takeover/takeover.go
+++ b/internal/controller/takeover/takeover.go
@@ -13,12 +13,14 @@
 	"gullrudder/internal/controller/book"
 	"gullrudder/internal/controller/fleet"
 	"gullrudder/internal/controller/jobs"
+	"gullrudder/internal/controller/leader/hearing"
 	"gullrudder/internal/controller/ledger"
 	"gullrudder/internal/controller/place"
 	"gullrudder/internal/controller/reports"
 	"gullrudder/internal/controller/settings"
 	"gullrudder/internal/controller/standing/floor"
 	"gullrudder/internal/controller/workers"
+	"gullrudder/internal/controller/workers/reach"
 	"gullrudder/internal/controller/zones"
 	"gullrudder/internal/wire/outbox"
 )
@@ -39,18 +41,21 @@
 	placer   *place.Placer
 	floor    *floor.Book
 	zones    *zones.Book
-
-	first    bool               // the ledger was empty: nobody has led before
-	built    bool               // the ledger has been taken over
-	placing  bool               // every machine that may hold tasks is accounted for
-	missing  []*workers.Machine // on the roster and not accounted for yet
-	mayAsk   float64            // workers that may be asked directly now
-	asking   int                // questions that are not answered yet
-	nextDrop time.Time
-	deaf     func(time.Time) bool // no machine's report comes through to us
-	expected int                  // machines whose reports should come, their leases not being over
-	overdue  int                  // of these, those whose reports should have come
-	ended    bool                 // the leadership: answers that are still to come change nothing
+	reach    *reach.Book
+	hearing  *hearing.Hearing
+
+	first      bool               // the ledger was empty: nobody has led before
+	built      bool               // the ledger has been taken over
+	placing    bool               // every machine that may hold tasks is accounted for
+	missing    []*workers.Machine // on the roster and not accounted for yet
+	mayAsk     float64            // workers that may be asked directly now
+	asking     int                // questions that are not answered yet
+	nextDrop   time.Time
+	sampled    int // where the next sample begins
+	nextSample time.Time
+	expected   int  // machines whose reports should come, their leases not being over
+	overdue    int  // of these, those whose reports should have come
+	ended      bool // the leadership: answers that are still to come change nothing
 }
 
 // World is what a takeover sees of its neighbours.
@@ -67,7 +72,8 @@
 	Placer   *place.Placer
 	Floor    *floor.Book
 	Zones    *zones.Book
-	Deaf     func(now time.Time) bool // no machine's report comes through to this controller
+	Reach    *reach.Book
+	Hearing  *hearing.Hearing // whether the workers reach this controller
 	Box      *outbox.Box
 	Log      *slog.Logger
 }
@@ -75,7 +81,7 @@
 // New begins a takeover with nothing but the ledger to come.
 func New(w World) *Takeover {
 	return &Takeover{cfg: w.Platform, log: w.Log, box: w.Box, token: w.Token, since: w.Since, ledger: w.Ledger, book: w.Book,
-		settings: w.Settings, fleet: w.Fleet, cloud: w.Cloud, clerk: w.Clerk, placer: w.Placer, floor: w.Floor, zones: w.Zones, deaf: w.Deaf}
+		settings: w.Settings, fleet: w.Fleet, cloud: w.Cloud, clerk: w.Clerk, placer: w.Placer, floor: w.Floor, zones: w.Zones, reach: w.Reach, hearing: w.Hearing}
 }
 
 // Close makes answers that are still to come harmless.
@@ -109,6 +115,8 @@
 // Tick asks what is to be asked; every is the time between two ticks.
 func (t *Takeover) Tick(now time.Time, every time.Duration) {
 	t.allowQuestions(every)
+	t.askWanted(now)
+	t.askSample(now)
 	if !t.placing {
 		t.account(now)
 	}
@@ -184,6 +192,9 @@
 	if m.Answered.IsZero() {
 		m.Answered = t.since
 	}
+	if m.Heard.IsZero() {
+		m.Heard = t.since
+	}
 }
 
 // account begins to place once every machine on the roster is accounted for. It asks
--- a/internal/controller/takeover/takeover_test.go
+++ b/internal/controller/takeover/takeover_test.go
@@ -10,6 +10,7 @@
 	"gullrudder/internal/controller/book"
 	"gullrudder/internal/controller/fleet"
 	"gullrudder/internal/controller/jobs"
+	"gullrudder/internal/controller/leader/hearing"
 	"gullrudder/internal/controller/ledger"
 	"gullrudder/internal/controller/pace"
 	"gullrudder/internal/controller/place"
@@ -18,6 +19,7 @@
 	"gullrudder/internal/controller/reports/blame"
 	"gullrudder/internal/controller/settings"
 	"gullrudder/internal/controller/workers"
+	"gullrudder/internal/controller/workers/reach"
 	"gullrudder/internal/controller/zones"
 	"gullrudder/internal/steady"
 	"gullrudder/internal/wire/inbox"
@@ -31,14 +33,16 @@
 type taking struct {
 	*Takeover
 	out     *inbox.Answers
-	unheard bool // no report comes through to this controller
+	hearing *hearing.Hearing
 }
 
 func newTakeover(now time.Time, token uint64) *taking {
 	log := slog.New(slog.DiscardHandler)
 	opt := config.DefaultOptions()
 	cfg := &config.Platform{Name: "n", ReportEvery: 4 * time.Second, WorkerLease: 20 * time.Second, CPUShare: 0.2, Connections: 1000}
-	k := &taking{out: &inbox.Answers{Log: log}}
+	k := &taking{out: &inbox.Answers{Log: log}, hearing: hearing.New(4 * time.Second)}
+	k.hearing.Begin(now)
+	links := reach.New(token, cfg.WorkerLease, log)
 	box := &outbox.Box{}
 	led := ledger.New(ledger.Options{ValueBytes: 8192, TxnOps: 12, WriteRate: 15}, token, log)
 	f, planner, cloud := workers.NewFleet(workers.LeaseEnd(cfg.WorkerLease), log), plan.New(opt, cfg), fleet.New(token, 2, time.Second, log)
@@ -47,9 +51,9 @@
 	placer := place.NewPlacer(place.World{Platform: cfg, Token: token, Jobs: b.Jobs, Fleet: f, Planner: planner,
 		Room: func(time.Time) plan.Room { return plan.Room{} }, Box: box, Log: log})
 	clerk := reports.NewClerk(reports.World{Platform: cfg, Token: token, Ledger: led, Book: b, Fleet: f, Cloud: cloud, Planner: planner,
-		Placer: placer, Pace: pace.New(cfg.ReportEvery), Blame: blame.New(), Answers: k.out, Log: log})
+		Placer: placer, Pace: pace.New(cfg.ReportEvery), Blame: blame.New(), Reach: links, Answers: k.out, Log: log})
 	k.Takeover = New(World{Platform: cfg, Token: token, Since: now, Ledger: led, Book: b, Settings: settings.New(opt, led, k.out, log), Fleet: f,
-		Cloud: cloud, Clerk: clerk, Placer: placer, Floor: planner.Floor(), Zones: zones.New(cfg.ReportEvery, now, log), Deaf: func(time.Time) bool { return k.unheard }, Box: box, Log: log})
+		Cloud: cloud, Clerk: clerk, Placer: placer, Floor: planner.Floor(), Zones: zones.New(cfg.ReportEvery, now, log), Reach: links, Hearing: k.hearing, Box: box, Log: log})
 	k.built, k.placing, k.first = true, true, true
 	return k
 }
@@ -81,7 +85,7 @@
 	now := time.Unix(10_000, 0)
 	n := newTakeover(now, 9)
 	m := n.fleet.Machine("vm-1")
-	m.Rostered, m.Answered = true, now
+	m.Rostered, m.Answered, m.Heard = true, now, now
 	n.missing, n.placing = []*workers.Machine{m}, false
 	report := workers.Report{Machine: "vm-1", Type: "small", Zone: "a", Session: 1, Seq: 4, Token: 8}
 	if a := n.send(t, now, report); a.Token != 9 || m.Accounted {
@@ -113,7 +117,7 @@
 		}
 		m := n.fleet.Machine(id)
 		n.fleet.Observe(now, m, &workers.Report{Machine: id, Addr: id, Type: "small", Zone: zone, Session: 1, Seq: 1}, true, n.book.Find)
-		m.Accounted, m.Rostered, m.Answered, m.UsedCPU = true, true, now, float64(i%4)
+		m.Accounted, m.Rostered, m.Answered, m.Heard, m.UsedCPU = true, true, now, now, float64(i%4)
 		n.fleet.Measure(m, workers.Room{CPUs: 4, Mem: 8}, 1, 1)
 	}
 	step := func(cut bool) (ears, deleted int) {
@@ -122,12 +126,12 @@
 		n.mayAsk = 100
 		for _, m := range n.fleet.Sorted() {
 			if m.Zone == "a" || !cut && m.Draining == workers.InUse && !m.Ear {
-				m.Answered = now
+				m.Answered, m.Heard = now, now
 			}
 		}
 		n.zones.Look(now, false, func(take func(zones.Machine)) {
 			for _, m := range n.fleet.Sorted() {
-				take(zones.Machine{Zone: m.Zone, Up: true, Live: !n.fleet.Expired(now, m), Answered: m.Answered, Leaving: m.Draining == workers.Silent, Ear: m.Ear})
+				take(zones.Machine{Zone: m.Zone, Up: true, Live: !n.fleet.Expired(now, m), Heard: m.Heard, Leaving: m.Draining == workers.Silent, Ear: m.Ear})
 			}
 		})
 		n.dropSilent(now)
@@ -156,7 +160,7 @@
 	}
 	for _, m := range n.fleet.Sorted() { // one of them tells of the return, the other stays away
 		if m.Ear {
-			m.Answered = now
+			m.Answered, m.Heard = now, now
 			break
 		}
 	}
@@ -178,12 +182,11 @@
 	}{{9, 1, 1, false}, {9, 3, 3, false}, {9, 4, 0, false}, {9, 3, 0, true}} {
 		now := time.Unix(10_000, 0)
 		n := newTakeover(now, 1)
-		n.unheard = c.unheard
 		for i := range c.machines {
 			id := fmt.Sprintf("vm-%06d", i)
 			m := n.fleet.Machine(id)
 			n.fleet.Observe(now, m, &workers.Report{Machine: id, Addr: id, Type: "small", Zone: "a", Session: 1, Seq: 1}, true, n.book.Find)
-			m.Accounted, m.Rostered, m.Answered = true, true, now
+			m.Accounted, m.Rostered, m.Answered, m.Heard = true, true, now, now
 		}
 		for range 40 {
 			now = now.Add(500 * time.Millisecond)
@@ -191,9 +194,14 @@
 			n.mayAsk = 100
 			for i, m := range n.fleet.Sorted() {
 				if i >= c.silent {
-					m.Answered = now
+					m.Answered, m.Heard = now, now
 				}
 			}
+			if !c.unheard {
+				n.hearing.Reported(now)
+			}
+			n.hearing.Tick(now.Add(-250*time.Millisecond), c.machines, 0) // more seldom it would be a pause of ours
+			n.hearing.Tick(now, c.machines, 0)
 			n.dropSilent(now)
 			for _, call := range n.box.Take() {
 				call.Done(now, outbox.Result{})
@@ -222,7 +230,7 @@
 	n.placing = false
 	for id, state := range map[string]string{"vm-1": fleet.Failed, "vm-2": fleet.Running} {
 		m := n.fleet.Machine(id)
-		m.Rostered, m.Answered = true, now
+		m.Rostered, m.Answered, m.Heard = true, now, now
 		n.missing = append(n.missing, m)
 		n.cloud.Hosts[id] = &fleet.Host{ID: id, State: state, Listed: now.Add(time.Hour)}
 	}
--- a/internal/controller/workers/workers.go
+++ b/internal/controller/workers/workers.go
@@ -19,15 +19,13 @@
 	Up           bool      // has reported to this leadership
 	Accounted    bool      // its tasks are known to this leadership
 	Answered     time.Time // when we last sent it a 200
-	AskAt        time.Time // it is not asked directly before this
-	Heard        time.Time // when it last answered a question
-	Unheard      int       // questions in a row that it did not answer
+	Heard        time.Time // when it last lived for certain: a new report, or an answer to a question (set by reach)
+	Unreached    bool      // it reports, and seems to hear nothing of us (set by reach)
 	Attempts     map[jobs.Key]*jobs.Attempt
 	UsedCPU      float64
 	UsedCards    float64
 	UsedMem      float64
 
-	Fresh     bool      // was not on the roster that this leadership took over: no earlier leader gave it tasks
 	Rostered  bool      // the ledger says that it may hold tasks
 	Enrolling bool      // that is on its way into the ledger
 	NoticeAt  time.Time // when the cloud takes it away; zero: no notice
--- a/internal/controller/zones/zones.go
+++ b/internal/controller/zones/zones.go
@@ -63,12 +63,12 @@
 
 // Machine is what a look sees of a machine.
 type Machine struct {
-	Zone     string
-	Up       bool      // it has reported to this leader
-	Live     bool      // its lease is not over
-	Answered time.Time // when its last report came, or the leadership began
-	Leaving  bool      // it is deleted, or being deleted: its silence says nothing
-	Ear      bool      // it is kept to tell of its zone's return
+	Zone    string
+	Up      bool      // it has reported to this leader
+	Live    bool      // its lease is not over
+	Heard   time.Time // when it last lived for certain, or the leadership began
+	Leaving bool      // it is deleted, or being deleted: its silence says nothing
+	Ear     bool      // it is kept to tell of its zone's return
 }
 
 type zone struct {
@@ -127,8 +127,8 @@
 	}
 	each(func(m Machine) {
 		z := b.of(m.Zone)
-		if m.Up && m.Answered.After(z.heard) {
-			z.heard = m.Answered
+		if m.Up && m.Heard.After(z.heard) {
+			z.heard = m.Heard
 		}
 		if m.Leaving {
 			return
@@ -140,7 +140,7 @@
 			return
 		}
 		z.known++
-		if now.Sub(m.Answered) > b.overdueAfter()+max(gap-paused, 0) {
+		if now.Sub(m.Heard) > b.overdueAfter()+max(gap-paused, 0) {
 			z.overdue++
 		}
 	})
--- a/internal/controller/zones/zones_test.go
+++ b/internal/controller/zones/zones_test.go
@@ -84,7 +84,7 @@
 		deaf := s.mute && s.now.Sub(s.muted) == 0
 		s.book.Look(s.now, deaf, func(take func(Machine)) {
 			for _, m := range s.machines {
-				take(Machine{Zone: m.zone, Up: true, Live: s.now.Sub(m.answered) <= lease, Answered: m.answered})
+				take(Machine{Zone: m.zone, Up: true, Live: s.now.Sub(m.answered) <= lease, Heard: m.answered})
 			}
 		})
 		check()
@@ -270,7 +270,7 @@
 	s.now = s.now.Add(lookEvery)
 	s.book.Look(s.now, false, func(take func(Machine)) {
 		for _, m := range s.machines {
-			take(Machine{Zone: m.zone, Up: true, Live: s.now.Sub(m.answered) <= lease, Answered: m.answered, Ear: m.zone == "b"})
+			take(Machine{Zone: m.zone, Up: true, Live: s.now.Sub(m.answered) <= lease, Heard: m.answered, Ear: m.zone == "b"})
 		}
 	})
 	if n := s.book.May(s.now, "b", 500); n != 0 {
