--- a/internal/controller/leader/promises.go
+++ b/internal/controller/leader/promises.go
@@ -40,6 +40,9 @@
 		e.takeYield(now, h)
 		return HelloAnswer{}
 	}
+	if h.Token < e.promisedToken {
+		return HelloAnswer{} // of a leadership that is over: it came late, and nobody waits for the answer
+	}
 	if e.mode != following || e.absent {
 		// We campaign or lead, or know that the key is gone while the state service
 		// works: the sender has lost its lease and must not be carried on.
@@ -55,15 +58,21 @@
 	return HelloAnswer{Promised: true, Sees: now.Sub(e.seen) < e.opt.Promise/4, Callers: e.hearing.Callers(now)}
 }
 
-// HandleInquiry answers a newly started controller.
-func (e *Election) HandleInquiry(now time.Time) InquiryAnswer {
-	return InquiryAnswer{Leading: e.Entitled(now)}
+// HandleInquiry answers a newly started controller. A leader whose renewal is late is not entitled, and may be so
+// again by the renewal; the answer to a promise of that controller's earlier life may still be on its way to it and
+// counts then. Told that nobody leads, the new process would not be bound by it.
+func (e *Election) HandleInquiry() InquiryAnswer {
+	return InquiryAnswer{Leading: e.mode == leading}
 }
 
 // takeYield takes in that a leadership was handed over. A promise that was given to it binds no
 // more, unless a later leader relies on one: a message like this may come minutes late.
 func (e *Election) takeYield(now time.Time, h Hello) {
-	e.yielded, e.handedTo = h.Yield, h.To
+	e.yielded = h.Yield
+	if h.Token < e.promisedToken {
+		return // another leads since, and who is to follow it nobody has said
+	}
+	e.handedTo = h.To
 	if e.mode == following && h.Token == e.promisedToken {
 		e.promisedUntil = now
 		e.leaderName = ""
--- a/internal/controller/node/node.go
+++ b/internal/controller/node/node.go
@@ -193,7 +193,7 @@
 	case path == "/peer/hello" && r.Peer:
 		n.only(r, "POST", func() { n.hello(now, r) })
 	case path == "/peer/inquiry" && r.Peer:
-		n.only(r, "POST", func() { n.out.Reply(r, 200, n.election.HandleInquiry(now), 0) })
+		n.only(r, "POST", func() { n.out.Reply(r, 200, n.election.HandleInquiry(), 0) })
 	default:
 		n.out.Refuse(r, 404, "no such path", 0)
 	}
