A beginning after 150 s, a floor for the largest of a class, and for a class of which nothing was done

Change: what has not begun after begin-bound has a few tasks ahead of the planned, within a twentieth of the fleet, and is not stopped within 30 s; the largest of a class, by work or by tasks, are a group of the floor; a job of a class of which nothing was done of late is late after 240 s.

--- a/internal/config/options.go
+++ b/internal/config/options.go
@@ -19,6 +19,7 @@
 	Term        time.Duration // length of a planning step
 	SubmitLease time.Duration // span over which a team's share is counted
 	TeamShare   float64       // share of the fleet that a team may submit per lease, best effort beyond it
+	BeginBound  time.Duration // a job of which nothing has begun after this begins ahead of others; 0: none does
 	AgeBound    time.Duration // a best-effort job older than this goes before younger ones
 	PayoffStep  time.Duration // lateness that costs a job one payoff step
 	IdleAfter   time.Duration // an idle machine is returned after this
@@ -43,7 +44,7 @@
 func DefaultOptions() Options {
 	return Options{
 		Term: 15 * time.Second, SubmitLease: 15 * time.Second, TeamShare: 4,
-		AgeBound: 420 * time.Second, PayoffStep: 30 * time.Second,
+		BeginBound: 150 * time.Second, AgeBound: 420 * time.Second, PayoffStep: 30 * time.Second,
 		IdleAfter: 12 * time.Second, Backlog: 150 * time.Second,
 		Thrift:      0.4,
 		LeaderLease: 1200 * time.Millisecond, Promise: 1200 * time.Millisecond,
@@ -89,6 +90,7 @@
 		"term":           durationField(time.Second, time.Hour, &o.Term),
 		"submit-lease":   durationField(time.Second, time.Hour, &o.SubmitLease),
 		"team-share":     numberField(0.01, 1000, &o.TeamShare),
+		"begin-bound":    durationField(0, 24*time.Hour, &o.BeginBound),
 		"age-bound":      durationField(time.Second, 24*time.Hour, &o.AgeBound),
 		"payoff-step":    durationField(time.Second, time.Hour, &o.PayoffStep),
 		"idle-after":     durationField(time.Second, time.Hour, &o.IdleAfter),
--- a/internal/controller/jobs/jobs.go
+++ b/internal/controller/jobs/jobs.go
@@ -99,10 +99,17 @@
 	Stray    bool      // not ours to run: to be stopped, but it holds its place until gone
 }
 
+// startStands is for how long a task has to run for its start to count.
+const startStands = 30 * time.Second
+
 // Stoppable reports whether the attempt may be stopped for a job of a higher priority with
-// little lost: it saves.
+// little lost: it saves. A job that has just begun is left its beginning: a start that is stopped within
+// startStands is none to its owner.
 func (a *Attempt) Stoppable(now time.Time) bool {
 	j := a.Job
+	if j != nil && j.NDone == 0 && now.Sub(a.Running) < startStands {
+		return false
+	}
 	return j != nil && !a.Stray && !a.Unsent && a.Stopping.IsZero() && !a.Running.IsZero() && !j.Gang && !j.Service && !j.Guaranteed &&
 		j.Checkpoint > 0 && now.Sub(a.Running) >= j.Save
 }
--- a/internal/controller/place/placer.go
+++ b/internal/controller/place/placer.go
@@ -174,7 +174,10 @@
 			continue
 		}
 		want := p.Wanted(j)
-		if want == 0 || j.Gang && want < j.Waiting() {
+		if e.Most > 0 {
+			want = min(want, e.Most-len(j.Active))
+		}
+		if want <= 0 || j.Gang && want < j.Waiting() {
 			continue
 		}
 		if free == nil {
--- a/internal/controller/place/starts.go
+++ b/internal/controller/place/starts.go
@@ -67,6 +67,9 @@
 		// What is held for the oldest is not taken bit by bit by those that are planned.
 		return list
 	}
+	if e.Most > 0 {
+		count = min(count, e.Most-len(j.Active)) // of a beginning, until the next order
+	}
 	count = min(count, ZoneRoom(j, m.Zone), TeamRoom(j, p.teams[j.Team], p.fleet.Team(j.Team)))
 	if count > 0 {
 		count = min(count, j.Waiting()-p.elsewhere(now, e, m))
--- a/internal/controller/plan/plan.go
+++ b/internal/controller/plan/plan.go
@@ -254,6 +254,7 @@
 	Planned bool // guaranteed, and its terms fit
 	Within  bool // within its team's guarantee
 	First   bool // aged, and before everything else
+	Most    int  // tasks that it is to have at a time; 0: as many as can be
 	PerTask time.Duration
 	Work    float64
 	Rank    int // the lower the earlier; within a rank the order is by key
@@ -264,6 +265,7 @@
 const (
 	rankFirst = iota
 	rankService
+	rankBegin
 	rankBehind
 	rankPlanned
 	rankCovered
@@ -299,6 +301,7 @@
 	within := p.within(live)
 	bound := p.bound(now, live, room)
 	first := p.Terms().First(now, live, room.CPUs, room.startable)
+	begins := p.begins(now, live, room)
 	late := p.late(now, live, room, func(j *jobs.Job) bool { return planned[j] || first[j] })
 	list := make([]Entry, 0, len(live))
 	for _, j := range live {
@@ -314,6 +317,8 @@
 			e.Rank, e.key, e.Hold, e.First = rankFirst, -age.Seconds(), true, true
 		case j.Service:
 			e.Rank, e.key, e.Hold = rankService, -float64(j.Priority), true
+		case begins[j]:
+			e.Rank, e.key, e.Hold, e.Most = rankBegin, -age.Seconds(), true, beginning(j)
 		case late[j] == floor.Behind:
 			e.Rank, e.key, e.Hold = rankBehind, srt, true
 		case e.Planned:
@@ -360,13 +365,64 @@
 	var claims []floor.Claim
 	for _, j := range live {
 		age := now.Sub(j.Submitted)
-		if j.Service || j.Mistaken || ahead(j) || age <= p.opt.AgeBound && !p.missed(j, age, p.PerTask(j)) {
+		if j.Service || j.Mistaken || ahead(j) || age <= p.lateAfter(now, j) && !p.missed(j, age, p.PerTask(j)) {
 			continue
 		}
 		claims = append(claims, floor.Claim{Job: j, Work: p.Work(j, now), Startable: room.startable(j),
-			Unserved: age > min(5*p.patience(j)/4, p.opt.AgeBound)})
+			Unserved: age > min(5*p.patience(j)/4, p.lateAfter(now, j))})
 	}
-	return p.floor.Look(now, claims, room.CPUs)
+	return p.floor.Look(now, claims, live, room.CPUs)
+}
+
+// lateAfter is from when on a job is late whatever its aims say: past the age bound, and sooner if nothing of its
+// class was done of late. A guest's six jobs, with wide aims, were nobody's concern until the age bound, and two of
+// them were done by the end of the day (hunt day a4e2-15).
+func (p *Planner) lateAfter(now time.Time, j *jobs.Job) time.Duration {
+	if p.opt.BeginBound > 0 && p.floor.Nothing(now, j.Class) {
+		return min(8*p.opt.BeginBound/5, p.opt.AgeBound)
+	}
+	return p.opt.AgeBound
+}
+
+// beginShare is which part of the fleet jobs may have that are to begin, for their beginnings.
+const beginShare = 0.05
+
+// beginning is how many tasks at a time are a beginning of an array: it may take any width. A gang begins as a whole.
+func beginning(j *jobs.Job) int {
+	if j.Gang {
+		return j.Tasks
+	}
+	return min(max(j.Tasks/100, 1), 8)
+}
+
+// begins finds the jobs of which nothing has begun within the bound, the oldest first, as far as their share goes.
+// Shortest remaining time first puts the largest last, and they began after more than four minutes.
+func (p *Planner) begins(now time.Time, live []*jobs.Job, room Room) map[*jobs.Job]bool {
+	if p.opt.BeginBound <= 0 {
+		return nil
+	}
+	var list []*jobs.Job
+	for _, j := range live {
+		if !j.Service && !j.Mistaken && j.NDone+len(j.Active) == 0 && now.Sub(j.Submitted) > p.opt.BeginBound && room.startable(j) > 0 {
+			list = append(list, j)
+		}
+	}
+	slices.SortFunc(list, func(a, b *jobs.Job) int {
+		if standing.Older(a, b) {
+			return -1
+		}
+		return 1
+	})
+	marked := map[*jobs.Job]bool{}
+	used := 0.0
+	for _, j := range list {
+		if used >= beginShare*room.CPUs && len(marked) > 0 {
+			break
+		}
+		marked[j] = true
+		used += float64(beginning(j)) * max(j.CPUs, 0.1)
+	}
+	return marked
 }
 
 // patience is how long the job may take by the widest of its aims; without any, the age bound.
@@ -386,7 +442,7 @@
 
 // Standing says why an entry is where it is in the order.
 func (e *Entry) Standing() string {
-	return [...]string{"aged, within the share that is kept", "service", "late, and of a class or team that is served least", "guaranteed, its plan fits", "within its team's guarantee",
+	return [...]string{"aged, within the share that is kept", "service", "to begin, after a long wait", "late, and of a class or team that is served least", "guaranteed, its plan fits", "within its team's guarantee",
 		"within its team's guarantee, late", "late, within the share that is kept", "aged", "its team is bound by its limit", "shortest remaining time", "its aims are missed", "its tasks fail wherever they are tried"}[e.Rank]
 }
 
--- a/internal/controller/plan/plan_test.go
+++ b/internal/controller/plan/plan_test.go
@@ -1,6 +1,7 @@
 package plan
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -56,3 +57,32 @@
 		}
 	}
 }
+
+// A job of which nothing has begun within the bound has a beginning ahead of the planned, the oldest first, as far
+// as its share of the fleet goes; shortest remaining time first put the largest behind all others.
+func TestABeginningForWhoWaitsLong(t *testing.T) {
+	now := time.Unix(100_000, 0)
+	opt := config.DefaultOptions()
+	p := New(opt, &config.Platform{})
+	at := func(id string, age time.Duration, tasks int) *jobs.Job {
+		j := jobs.NewJob(jobs.Spec{ID: id, Class: "c", Team: "t", Tasks: tasks, CPUs: 1, Mem: 1, Estimate: time.Minute}, now.Add(-age))
+		j.State = jobs.Accepted
+		return j
+	}
+	huge := at("job-1", opt.BeginBound+2*time.Second, 25_000)
+	second := at("job-2", opt.BeginBound+time.Second, 10)
+	third := at("job-3", opt.BeginBound+time.Second/2, 10)
+	young := at("job-4", opt.BeginBound-time.Second, 1)
+	order := p.Order(now, []*jobs.Job{young, third, second, huge}, Room{CPUs: 100, Machine: 16})
+	got := ""
+	for _, e := range order {
+		got += fmt.Sprintf("%s:%d ", e.Job.ID, e.Most)
+	}
+	if want := "job-1:8 job-4:0 job-2:0 job-3:0 "; got != want {
+		t.Errorf("order %q, want %q", got, want)
+	}
+	huge.Active[0] = &jobs.Attempt{Job: huge, Running: now}
+	if e := p.Order(now, []*jobs.Job{second, huge}, Room{CPUs: 100, Machine: 16}); e[0].Job != second || e[0].Most != 1 || e[1].Most != 0 {
+		t.Error("who has begun still goes ahead of who has not")
+	}
+}
--- a/internal/controller/requests/served.go
+++ b/internal/controller/requests/served.go
@@ -10,10 +10,11 @@
 type ServedGroup struct {
 	Team  bool    `msgpack:"team" json:"team"` // a team; otherwise a class
 	Name  string  `msgpack:"name" json:"name"`
-	Done  float64 `msgpack:"done" json:"done"`   // jobs; what is longer ago counts less
-	Late  int     `msgpack:"late" json:"late"`   // jobs that can keep none of their aims any more
-	Owed  int     `msgpack:"owed" json:"owed"`   // of these, such that have room of their own
-	Share float64 `msgpack:"share" json:"share"` // done, of done and late
+	Done  float64 `msgpack:"done" json:"done"`       // jobs; what is longer ago counts less
+	Late  int     `msgpack:"late" json:"late"`       // jobs that can keep none of their aims any more
+	Owed  int     `msgpack:"owed" json:"owed"`       // of these, such that have room of their own
+	Share float64 `msgpack:"share" json:"share"`     // done, of done and late
+	Large bool    `msgpack:"largest" json:"largest"` // the largest jobs of the class
 }
 
 // ServedList is what `gullrudder served` shows, the least served first.
@@ -27,7 +28,7 @@
 	d.placer.Order(now) // what is told is as of the last order
 	a := ServedList{Groups: []ServedGroup{}, Least: d.opt.FloorLeast}
 	for _, s := range d.planner.Floor().Table(now) {
-		a.Groups = append(a.Groups, ServedGroup{s.Team, s.Name, s.Done, s.Late, s.Owed, s.Share})
+		a.Groups = append(a.Groups, ServedGroup{s.Team, s.Name, s.Done, s.Late, s.Owed, s.Share, s.Largest})
 	}
 	d.out.Reply(r, 200, a, 0)
 }
--- a/internal/controller/standing/floor/floor.go
+++ b/internal/controller/standing/floor/floor.go
@@ -29,10 +29,46 @@
 	Late   float64       // of the fleet's CPUs, for late jobs of any
 }
 
-// Group is a class of jobs, or a team.
+// Group is a class of jobs, a team, or the largest jobs of a class.
 type Group struct {
-	Team bool // a team's; otherwise a class's
-	Name string
+	Team    bool // a team's; otherwise a class's
+	Name    string
+	Largest bool // of the class
+}
+
+// What is largest is not defined by who asks for it. Both readings count, by work and by number of tasks: the top
+// tenth of the jobs of a class that were seen of late, one at least, if they are larger than the middle one.
+const (
+	top       = 0.9
+	mostSizes = 128
+	// leniency is how much less of the largest than of a class is to be done: on a rough day they are the ones
+	// that are late, and room for them is taken from many others.
+	leniency = 0.1
+)
+
+// size of a job, by both readings.
+type extent struct{ work, tasks float64 }
+
+func extentOf(j *jobs.Job) extent {
+	return extent{float64(j.Tasks) * j.Estimate.Seconds() * size(j), float64(j.Tasks)}
+}
+
+// bounds are from which size on a job is one of its class's largest.
+func bounds(list []extent) extent {
+	at := func(of func(extent) float64) float64 {
+		values := make([]float64, len(list))
+		for i, x := range list {
+			values[i] = of(x)
+		}
+		slices.Sort(values)
+		for _, v := range values[min(int(top*float64(len(values))), len(values)-1):] {
+			if v > values[len(values)/2] || len(values) == 2 && v > values[0] {
+				return v
+			}
+		}
+		return math.Inf(1) // all are of one size
+	}
+	return extent{at(func(x extent) float64 { return x.work }), at(func(x extent) float64 { return x.tasks })}
 }
 
 // tally is how many jobs were done, what is longer ago counting ever less.
@@ -70,8 +106,10 @@
 type Book struct {
 	terms  Terms
 	served map[Group]*tally
-	owed   map[*jobs.Job]bool // have, or had, room of their own and still run
-	last   map[Group]Served   // as it was looked at last
+	seen   map[string][]extent // by class, of jobs that were done of late
+	large  map[string]extent   // by class, from which size on
+	owed   map[*jobs.Job]bool  // have, or had, room of their own and still run
+	last   map[Group]Served    // as it was looked at last
 	dirty  bool
 	saveAt time.Time
 }
@@ -87,19 +125,49 @@
 
 // New makes the book of a new leadership.
 func New(t Terms) *Book {
-	return &Book{terms: t, served: map[Group]*tally{}, owed: map[*jobs.Job]bool{}, last: map[Group]Served{}}
+	return &Book{terms: t, served: map[Group]*tally{}, seen: map[string][]extent{}, large: map[string]extent{}, owed: map[*jobs.Job]bool{}, last: map[Group]Served{}}
 }
 
 // Tune takes other terms.
 func (b *Book) Tune(t Terms) { b.terms = t }
 
-func groups(j *jobs.Job) [2]Group { return [2]Group{{false, j.Class}, {true, j.Team}} }
+// groups are those that a job counts for.
+func (b *Book) groups(j *jobs.Job) []Group {
+	list := []Group{{Name: j.Class}, {Team: true, Name: j.Team}}
+	from, known := b.large[j.Class]
+	if x := extentOf(j); known && (x.work >= from.work || x.tasks >= from.tasks) {
+		list = append(list, Group{Name: j.Class, Largest: true})
+	}
+	return list
+}
+
+// measure finds anew from which size on the jobs of each class are its largest.
+func (b *Book) measure(live []*jobs.Job) {
+	all := map[string][]extent{}
+	for class, list := range b.seen {
+		all[class] = slices.Clone(list)
+	}
+	for _, j := range live {
+		if !j.Service {
+			all[j.Class] = append(all[j.Class], extentOf(j))
+		}
+	}
+	clear(b.large)
+	for class, list := range all {
+		b.large[class] = bounds(list)
+	}
+}
 
 // Done takes in a job that is done.
 func (b *Book) Done(now time.Time, j *jobs.Job) {
 	delete(b.owed, j)
 	b.dirty = true
-	for _, g := range groups(j) {
+	list := append(b.seen[j.Class], extentOf(j))
+	b.seen[j.Class] = list[max(len(list)-mostSizes, 0):]
+	if _, known := b.large[j.Class]; !known || len(list)%16 == 0 {
+		b.large[j.Class] = bounds(b.seen[j.Class])
+	}
+	for _, g := range b.groups(j) {
 		t := b.served[g]
 		if t == nil {
 			t = &tally{at: now}
@@ -110,8 +178,15 @@
 	}
 }
 
+// Nothing reports whether no job of the class was done of late.
+func (b *Book) Nothing(now time.Time, class string) bool {
+	t := b.served[Group{Name: class}]
+	return t == nil || t.upTo(now, b.terms.Window) < 0.5
+}
+
 // state of a class or team while room is given out.
 type state struct {
+	least   float64 // share that is to be done
 	done    float64 // with those that were given room, as if they were done
 	late    float64 // jobs that are unserved
 	used    float64 // CPUs of the room that was given out
@@ -125,13 +200,35 @@
 	return s.done / (s.done + s.late)
 }
 
-// Look says which late jobs have room of their own now, and why. cpus are the fleet's.
-func (b *Book) Look(now time.Time, claims []Claim, cpus float64) map[*jobs.Job]Standing {
+func (s *state) behind() bool { return s.share() < s.least }
+
+// least is which share of a group's jobs is to be done.
+func (b *Book) least(g Group) float64 {
+	if g.Largest {
+		return b.terms.Least - leniency
+	}
+	return b.terms.Least
+}
+
+// kind orders the kinds of groups.
+func kind(g Group) int {
+	switch {
+	case g.Team:
+		return 1
+	case g.Largest:
+		return 2
+	}
+	return 0
+}
+
+// Look says which late jobs have room of their own now, and why. live are all jobs, cpus the fleet's.
+func (b *Book) Look(now time.Time, claims []Claim, live []*jobs.Job, cpus float64) map[*jobs.Job]Standing {
 	b.forget(claims)
 	clear(b.last)
 	if len(claims) == 0 {
 		return nil
 	}
+	b.measure(live)
 	list := slices.Clone(claims)
 	slices.SortFunc(list, func(x, y Claim) int {
 		return cmp.Or(cmp.Compare(x.Work, y.Work), x.Job.Submitted.Compare(y.Job.Submitted), cmp.Compare(x.Job.ID, y.Job.ID))
@@ -139,10 +236,10 @@
 	at := map[Group]*state{}
 	used := 0.0
 	for i, c := range list {
-		for _, g := range groups(c.Job) {
+		for _, g := range b.groups(c.Job) {
 			s := at[g]
 			if s == nil {
-				s = &state{}
+				s = &state{least: b.least(g)}
 				if t := b.served[g]; t != nil {
 					s.done = t.upTo(now, b.terms.Window)
 				}
@@ -158,7 +255,7 @@
 		if b.owed[c.Job] {
 			has := float64(len(c.Job.Active)) * size(c.Job)
 			used += has
-			for _, g := range groups(c.Job) {
+			for _, g := range b.groups(c.Job) {
 				at[g].used += has
 			}
 		}
@@ -169,7 +266,7 @@
 	given := b.give(list, at, used, cpus)
 	for j := range given {
 		b.owed[j] = true
-		for _, g := range groups(j) {
+		for _, g := range b.groups(j) {
 			s := b.last[g]
 			s.Owed++
 			b.last[g] = s
@@ -183,13 +280,7 @@
 func (b *Book) give(list []Claim, at map[Group]*state, used, cpus float64) map[*jobs.Job]Standing {
 	given := map[*jobs.Job]Standing{}
 	order := slices.SortedFunc(maps.Keys(at), func(x, y Group) int {
-		if x.Team != y.Team {
-			if x.Team {
-				return 1
-			}
-			return -1
-		}
-		return cmp.Compare(x.Name, y.Name)
+		return cmp.Or(cmp.Compare(kind(x), kind(y)), cmp.Compare(x.Name, y.Name))
 	})
 	for {
 		var least, modest *state
@@ -204,28 +295,28 @@
 			if least == nil || s.share() < least.share() {
 				least = s
 			}
-			if s.used < flood*b.limit(s.share())*cpus && (modest == nil || s.share() < modest.share()) {
+			if s.used < flood*b.limit(s.share(), s.least)*cpus && (modest == nil || s.share() < modest.share()) {
 				modest = s
 			}
 		}
 		if least == nil {
 			return given
 		}
-		if modest != nil && (modest.share() < b.terms.Least || least.share() >= b.terms.Least) {
+		if modest != nil && (modest.behind() || !least.behind()) {
 			least = modest // nobody who is served well enough goes before one who floods and is not
 		}
-		if used >= b.limit(least.share())*cpus {
+		if used >= b.limit(least.share(), least.least)*cpus {
 			return given
 		}
 		why := Late
-		if least.share() < b.terms.Least {
+		if least.behind() {
 			why = Behind
 		}
 		c := list[least.waiting[0]]
 		given[c.Job] = why
 		needs := float64(c.Startable) * size(c.Job)
 		used += needs
-		for _, g := range groups(c.Job) {
+		for _, g := range b.groups(c.Job) {
 			at[g].used += needs
 			at[g].done++
 			if c.Unserved {
@@ -239,8 +330,8 @@
 const flood = 0.5
 
 // limit is the share of the fleet up to which a class or team that was served so much is given room.
-func (b *Book) limit(share float64) float64 {
-	if share < b.terms.Least {
+func (b *Book) limit(share, least float64) float64 {
+	if share < least {
 		return max(b.terms.Share, b.terms.Late)
 	}
 	return b.terms.Late
@@ -266,7 +357,7 @@
 	reserve := 0.0
 	for _, s := range b.last {
 		if s.Owed > 0 {
-			reserve = max(reserve, b.limit(s.Share))
+			reserve = max(reserve, b.limit(s.Share, b.least(s.Group)))
 		}
 	}
 	return reserve
--- a/internal/controller/standing/floor/floor_test.go
+++ b/internal/controller/standing/floor/floor_test.go
@@ -41,7 +41,7 @@
 			if code>>i&1 == 1 {
 				used += float64(c.Startable) * size(c.Job)
 			}
-			for _, g := range groups(c.Job) {
+			for _, g := range New(Terms{}).groups(c.Job) {
 				all[g]++
 				if code>>i&1 == 1 {
 					served[g]++
@@ -72,7 +72,7 @@
 			for range rapid.IntRange(0, 6).Draw(t, "done") {
 				j := lateJob(99, fmt.Sprint("c", c), fmt.Sprint("t", c%2), 1, 1)
 				b.Done(now, j)
-				for _, g := range groups(j) {
+				for _, g := range New(Terms{}).groups(j) {
 					done[g]++
 				}
 			}
@@ -83,7 +83,7 @@
 				rapid.IntRange(1, 6).Draw(t, "tasks"), float64(rapid.IntRange(1, 2).Draw(t, "cpus")))))
 		}
 		const cpus = 60
-		given := b.Look(now, claims, cpus)
+		given := b.Look(now, claims, nil, cpus)
 		used, largest := 0.0, 0.0
 		served, all := map[Group]float64{}, map[Group]float64{}
 		for g, d := range done {
@@ -91,7 +91,7 @@
 		}
 		for _, c := range claims {
 			need := float64(c.Startable) * size(c.Job)
-			for _, g := range groups(c.Job) {
+			for _, g := range New(Terms{}).groups(c.Job) {
 				all[g]++
 				if given[c.Job] != 0 {
 					served[g]++
@@ -151,7 +151,7 @@
 			claims = append(claims, claim(j))
 			running += float64(len(j.Active)) * j.CPUs
 		}
-		for j := range b.Look(now, claims, cpus) {
+		for j := range b.Look(now, claims, nil, cpus) {
 			for task := range j.Tasks {
 				if j.Active[task] == nil {
 					j.Attach(&jobs.Attempt{Key: jobs.Key{Job: j.ID, Task: task}, Job: j})
@@ -202,7 +202,7 @@
 	if !found {
 		t.Fatal("nothing is written")
 	}
-	team := next.served[Group{true, "t"}]
+	team := next.served[Group{Team: true, Name: "t"}]
 	if got := team.upTo(later, terms().Window); math.Abs(got-200/math.E) > 1 {
 		t.Errorf("%.2f jobs count after the window, want %.2f", got, 200/math.E)
 	}
@@ -222,7 +222,7 @@
 			c.Unserved = unserved
 			claims = append(claims, c)
 		}
-		given := b.Look(now, claims, 100)
+		given := b.Look(now, claims, nil, 100)
 		want := 10
 		if unserved {
 			want = 20
@@ -242,21 +242,49 @@
 func TestRoomIsCountedWhileItIsUsed(t *testing.T) {
 	b, now := New(terms()), time.Unix(10_000, 0)
 	first := lateJob(1, "c", "t", 20, 1)
-	if b.Look(now, []Claim{claim(first)}, 100)[first] == 0 {
+	if b.Look(now, []Claim{claim(first)}, nil, 100)[first] == 0 {
 		t.Fatal("a late job gets nothing")
 	}
 	for task := range first.Tasks {
 		first.Attach(&jobs.Attempt{Key: jobs.Key{Job: first.ID, Task: task}, Job: first})
 	}
 	second := lateJob(2, "c", "t", 20, 1)
-	if given := b.Look(now, []Claim{claim(first), claim(second)}, 100); len(given) != 0 {
+	if given := b.Look(now, []Claim{claim(first), claim(second)}, nil, 100); len(given) != 0 {
 		t.Errorf("%d jobs get room beyond the share", len(given))
 	}
 	if b.Reserve() != 0 {
 		t.Errorf("%g of the fleet is kept though nobody is given any", b.Reserve())
 	}
 	b.Done(now, first)
-	if b.Look(now, []Claim{claim(second)}, 100)[second] == 0 {
+	if b.Look(now, []Claim{claim(second)}, nil, 100)[second] == 0 {
 		t.Error("room that came free is not given out again")
 	}
 }
+
+// Of classes of one size no job is a largest one; of others the top tenth by work or by tasks, one at least. They are
+// behind as a group of their own, though their class is served well.
+func TestLargest(t *testing.T) {
+	now := time.Unix(5000, 0)
+	b := New(Terms{Window: time.Hour, Least: 0.7, Share: 0.5, Late: 0})
+	var live []*jobs.Job
+	for i := range 30 {
+		live = append(live, lateJob(i, "even", "t", 7, 1), lateJob(100+i, "odd", "t", 5, 1))
+	}
+	big := lateJob(300, "odd", "t", 400, 1)
+	wide := lateJob(301, "odd", "t", 500, 0.01)
+	live = append(live, big, wide)
+	for range 40 {
+		b.Done(now, live[0])
+		b.Done(now, live[1])
+	}
+	given := b.Look(now, []Claim{claim(big), claim(live[1])}, live, 10_000)
+	for _, j := range live {
+		largest := len(b.groups(j)) == 3
+		if want := j == big || j == wide; largest != want {
+			t.Errorf("%s of %d tasks: largest %v", j.Class, j.Tasks, largest)
+		}
+	}
+	if given[big] != Behind || given[live[1]] == Behind {
+		t.Errorf("the largest %v, one of the others %v", given[big], given[live[1]])
+	}
+}
--- a/internal/controller/standing/floor/record.go
+++ b/internal/controller/standing/floor/record.go
@@ -18,7 +18,7 @@
 	saveEvery = 5 * time.Second
 	// mostGroups are written: those with the most jobs. recordReserve is the room that they need.
 	mostGroups    = 24
-	recordReserve = 1900
+	recordReserve = 2200
 	longestName   = 40
 )
 
@@ -28,9 +28,10 @@
 }
 
 type row struct {
-	Team bool    `msgpack:"t,omitempty" json:"t,omitempty"`
-	Name string  `msgpack:"n" json:"n"`
-	Done float64 `msgpack:"d" json:"d"`
+	Team    bool    `msgpack:"t,omitempty" json:"t,omitempty"`
+	Name    string  `msgpack:"n" json:"n"`
+	Done    float64 `msgpack:"d" json:"d"`
+	Largest bool    `msgpack:"l,omitempty" json:"l,omitempty"`
 }
 
 // Save writes down what was served, if that has changed and it is time.
@@ -43,7 +44,7 @@
 	for g, t := range b.served {
 		// Names are the platform's, and of no use for telling a class if they are cut.
 		if d := t.upTo(now, b.terms.Window); d >= 0.01 && len(g.Name) <= longestName {
-			rec.Groups = append(rec.Groups, row{g.Team, g.Name, float64(int(d*100)) / 100})
+			rec.Groups = append(rec.Groups, row{g.Team, g.Name, float64(int(d*100)) / 100, g.Largest})
 		}
 	}
 	slices.SortFunc(rec.Groups, func(x, y row) int { return cmp.Or(cmp.Compare(y.Done, x.Done), cmp.Compare(x.Name, y.Name)) })
@@ -65,7 +66,7 @@
 		at = now // the clocks of two controllers differ
 	}
 	for _, r := range rec.Groups {
-		b.served[Group{r.Team, r.Name}] = &tally{done: r.Done, at: at}
+		b.served[Group{r.Team, r.Name, r.Largest}] = &tally{done: r.Done, at: at}
 	}
 	return nil
 }
