--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -310,6 +310,12 @@
 
 // record finds a job's record in the pages, as the next leader would.
 func (s *StateService) record(id string) (rec jobs.Record, ok bool) {
+	raw, ok := s.entry(id)
+	return rec, ok && msgpack.Unmarshal(raw, &rec) == nil
+}
+
+// entry finds an entry of the ledger in the pages.
+func (s *StateService) entry(id string) (raw msgpack.RawMessage, ok bool) {
 	for name, k := range s.keys {
 		if !strings.HasPrefix(name, ledger.Prefix) {
 			continue
@@ -318,10 +324,10 @@
 			Entries map[string]msgpack.RawMessage `msgpack:"e"`
 		}
 		if msgpack.Unmarshal(k.value, &page) == nil && page.Entries[id] != nil {
-			return rec, msgpack.Unmarshal(page.Entries[id], &rec) == nil
+			return page.Entries[id], true
 		}
 	}
-	return rec, false
+	return nil, false
 }
 
 // results reads a job's record from the pages, as the next leader would.
