--- a/internal/standin/troubles_test.go
+++ b/internal/standin/troubles_test.go
@@ -12,8 +12,12 @@
 
 // site is a world of a dozen machines that are all at work, and the index of its leader.
 func site(t *testing.T, seed uint64) (w *World, leader int) {
+	return siteThatReports(t, seed, time.Second, 12*time.Second)
+}
+
+func siteThatReports(t *testing.T, seed uint64, every, lease time.Duration) (w *World, leader int) {
 	opt := options()
-	opt.Loss, opt.Capacity, opt.Teams, opt.Lease = 0, 12, nil, 12*time.Second
+	opt.Loss, opt.Capacity, opt.Teams, opt.ReportEvery, opt.Lease = 0, 12, nil, every, lease
 	w = New(seed, opt, quiet())
 	for i := range 10 {
 		w.Users.Send(jobs.Spec{ID: "job-" + string(rune('0'+i)), Class: "c", Team: "none", Tasks: 8, CPUs: 1, Mem: 1, Image: "i", Spot: true,
@@ -49,9 +53,9 @@
 func TestMachinesThatHearNothing(t *testing.T) {
 	t.Parallel()
 	for seed := range uint64(3) {
-		w, leader := site(t, seed)
+		w, leader := siteThatReports(t, seed, 4*time.Second, 20*time.Second)
 		before := len(w.Cloud.running())
-		w.Cloud.Unhear(3, seed == 1, 3*time.Minute)
+		w.Cloud.Unhear(3, seed > 0, 3*time.Minute)
 		w.At(5*time.Second, w.Cloud.Die)
 		if seed == 2 {
 			w.At(2*time.Second, func() { w.Crash(leader, 100*time.Millisecond) })
@@ -75,7 +79,7 @@
 func TestLeaderThatNobodyHears(t *testing.T) {
 	t.Parallel()
 	for seed := range uint64(3) {
-		w, leader := site(t, seed)
+		w, leader := siteThatReports(t, seed, 4*time.Second, 20*time.Second)
 		w.Cloud.Unhear(1000, true, 2*time.Minute)
 		w.At(time.Second, w.Cloud.Die)
 		w.Run(15 * time.Second)
@@ -184,11 +188,11 @@
 	t.Parallel()
 	for seed := range uint64(2) {
 		opt := FamineOptions(options().Tuning)
-		opt.Capacity = 3
+		opt.Capacity = 1
 		w := New(seed, opt, quiet())
 		spec := jobs.Spec{Class: "flood", Team: "blue", Priority: jobs.Normal, Tasks: 12, CPUs: 2, Mem: 2, Image: "f", Spot: true, Estimate: 15 * time.Second}
-		for i := range 140 {
-			w.At(time.Duration(i)*3*time.Second, func() {
+		for i := range 420 {
+			w.At(time.Duration(i)*time.Second, func() {
 				s := spec
 				s.ID = fmt.Sprintf("job-%07d", i)
 				w.Users.Send(s, 15*time.Second)
