A controller that is cut off from the state service and the others is not ready for users

Cause: it stayed ready for ever once it had met a leader, took a third of the users' connections and refused all of them. While the state service is away for all the others speak, so it stays ready: the balancer's growing pauses must not prolong that. Change: five seconds without a word of either, the others being asked when nobody greets.

--- a/internal/controller/leader/explore_test.go
+++ b/internal/controller/leader/explore_test.go
@@ -266,7 +266,7 @@
 	}
 	e := w.who[j]
 	if c.Path == "/peer/inquiry" {
-		a := e.HandleInquiry()
+		a := e.HandleInquiry(w.now)
 		return outbox.Result{Status: 200, Body: w.body(a)}
 	}
 	h := c.Body.(Hello)
@@ -437,11 +437,11 @@
 	f := fresh(t)
 	f.elect()
 	f.now = f.now.Add(lease)
-	if f.e.Entitled(f.now) || !f.e.HandleInquiry().Leading {
-		t.Errorf("entitled %v, says that it leads %v", f.e.Entitled(f.now), f.e.HandleInquiry().Leading)
+	if f.e.Entitled(f.now) || !f.e.HandleInquiry(f.now).Leading {
+		t.Errorf("entitled %v, says that it leads %v", f.e.Entitled(f.now), f.e.HandleInquiry(f.now).Leading)
 	}
 	f.tick(2 * lease)
-	if f.e.HandleInquiry().Leading {
+	if f.e.HandleInquiry(f.now).Leading {
 		t.Error("says that it leads after it has given up")
 	}
 }
--- a/internal/controller/leader/leader.go
+++ b/internal/controller/leader/leader.go
@@ -81,7 +81,10 @@
 	leaderHeard   time.Time
 	epoch         int // outdates answers to calls of an earlier mode
 	hearing       *hearing.Hearing
-	handedTo      string // who is to lead next, as the last leader said; empty: whoever is first
+	met           time.Time // when another controller last spoke to us, or answered
+	spoke         time.Time // when the state service last answered, whatever it said
+	callAt        time.Time // no other controller is called before this, only to hear whether it is there
+	handedTo      string    // who is to lead next, as the last leader said; empty: whoever is first
 }
 
 type promise struct {
@@ -93,7 +96,7 @@
 
 // New makes the election of a process that has just started.
 func New(opt Options, now time.Time, rng *rand.Rand, log *slog.Logger) *Election {
-	return &Election{opt: opt, log: log, rng: rng, booted: now, cleared: map[string]bool{}, promises: map[string]*promise{},
+	return &Election{opt: opt, log: log, rng: rng, booted: now, met: now, spoke: now, cleared: map[string]bool{}, promises: map[string]*promise{},
 		hearing: hearing.New(opt.Report)}
 }
 
@@ -175,6 +178,44 @@
 	case following:
 		e.look(now, box)
 		e.follow(now, box)
+		e.callOthers(now, box)
+	}
+}
+
+const (
+	// alone is after how long without a word of the others and of the state service this controller is cut off from both.
+	alone = 5 * time.Second
+	// callEvery is how often the others are called when nobody has spoken for as long.
+	callEvery = time.Second
+)
+
+// Alone reports whether neither the state service nor any other controller has said a word for a while. While only
+// the state service is away, for everybody, the others are there: then it is false, and users may stay here.
+func (e *Election) Alone(now time.Time) bool {
+	return len(e.opt.Peers) > 0 && now.Sub(e.met) >= alone && now.Sub(e.spoke) >= alone
+}
+
+// callOthers asks the others for a word if none has come of late: between two leaders nobody greets anybody.
+func (e *Election) callOthers(now time.Time, box *outbox.Box) {
+	if now.Sub(e.met) < callEvery || now.Before(e.callAt) {
+		return
+	}
+	e.callAt = now.Add(callEvery)
+	for _, p := range e.opt.Peers {
+		box.Add(outbox.Call{Service: outbox.Peer, Addr: p.Addr, Method: "POST", Path: "/peer/inquiry", Timeout: e.opt.Promise / 3,
+			Done: func(now time.Time, r outbox.Result) { e.heardPeer(now, r) }})
+	}
+}
+
+func (e *Election) heardPeer(now time.Time, r outbox.Result) {
+	if r.Status != 0 {
+		e.met = now
+	}
+}
+
+func (e *Election) heardState(now time.Time, r outbox.Result) {
+	if r.Status != 0 {
+		e.spoke = now
 	}
 }
 
@@ -208,6 +249,7 @@
 				return
 			}
 			e.touching = false
+			e.heardState(now, r)
 			if r.Status == 200 {
 				e.failures = 0
 				e.served = time.Time{}
@@ -261,7 +303,8 @@
 		}
 		box.Add(outbox.Call{Service: outbox.Peer, Addr: p.Addr, Method: "POST", Path: "/peer/inquiry",
 			Timeout: e.opt.Promise / 3,
-			Done: func(_ time.Time, r outbox.Result) {
+			Done: func(now time.Time, r outbox.Result) {
+				e.heardPeer(now, r)
 				var a InquiryAnswer
 				if r.Status == 200 && packed.Unmarshal(r.Body, &a) == nil && !a.Leading {
 					e.cleared[p.Name] = true
@@ -279,6 +322,7 @@
 				return
 			}
 			e.reading = false
+			e.heardState(now, r)
 			var a struct {
 				Value leaderValue `msgpack:"value"`
 				Mark  uint64      `msgpack:"mark"`
@@ -324,6 +368,7 @@
 				return
 			}
 			e.reading = false
+			e.heardState(now, r)
 			var a struct {
 				Tide uint64 `msgpack:"tide"`
 				Log  []struct {
--- a/internal/controller/leader/leader_test.go
+++ b/internal/controller/leader/leader_test.go
@@ -301,3 +301,33 @@
 		}
 	}
 }
+
+// A controller that hears neither the state service nor the others says so after a while; while one of them speaks it
+// does not, also between two leaders when nobody greets: it asks then. One that has no others is never alone.
+func TestAlone(t *testing.T) {
+	for name, c := range map[string]struct{ state, peers, want bool }{
+		"cut from both":                    {false, false, true},
+		"the state service is away":        {false, true, false},
+		"refused by the state service":     {true, false, false},
+		"peers refuse, the state does not": {true, false, false},
+	} {
+		f := fresh(t)
+		for range 80 {
+			calls := f.tick(100 * time.Millisecond)
+			for _, call := range calls {
+				switch {
+				case call.Service == outbox.Peer && c.peers:
+					call.Done(f.now, outbox.Result{Status: 200, Body: body(t, InquiryAnswer{Leading: true})})
+				case call.Service == outbox.State && c.state:
+					call.Done(f.now, outbox.Result{Status: 503})
+				default:
+					call.Done(f.now, outbox.Result{})
+				}
+			}
+			f.box.Take()
+		}
+		if got := f.e.Alone(f.now); got != c.want {
+			t.Errorf("%s: alone %v", name, got)
+		}
+	}
+}
--- a/internal/controller/leader/promises.go
+++ b/internal/controller/leader/promises.go
@@ -36,6 +36,7 @@
 
 // HandleHello answers the leader's request for a promise.
 func (e *Election) HandleHello(now time.Time, h Hello) HelloAnswer {
+	e.met = now
 	if h.Yield != 0 {
 		e.takeYield(now, h)
 		return HelloAnswer{}
@@ -61,7 +62,8 @@
 // HandleInquiry answers a newly started controller. A leader whose renewal is late is not entitled, and may be so
 // again by the renewal; the answer to a promise of that controller's earlier life may still be on its way to it and
 // counts then. Told that nobody leads, the new process would not be bound by it.
-func (e *Election) HandleInquiry() InquiryAnswer {
+func (e *Election) HandleInquiry(now time.Time) InquiryAnswer {
+	e.met = now
 	return InquiryAnswer{Leading: e.mode == leading}
 }
 
@@ -98,6 +100,7 @@
 					return
 				}
 				pr.asking = false
+				e.heardPeer(now, r)
 				pr.next = sent.Add(e.opt.Promise / 5)
 				if e.doubts(now) {
 					pr.next = sent.Add(e.opt.Promise / 10)
@@ -180,6 +183,7 @@
 	box.Add(outbox.Call{Service: outbox.State, Method: "GET", Path: "/keys/" + Key, Timeout: e.opt.Promise / 4,
 		Done: func(now time.Time, r outbox.Result) {
 			e.probing = false
+			e.heardState(now, r)
 			if r.Status == 200 || r.Status == 404 {
 				e.seen = now
 			}
--- a/internal/controller/node/node.go
+++ b/internal/controller/node/node.go
@@ -193,7 +193,7 @@
 	case path == "/peer/hello" && r.Peer:
 		n.only(r, "POST", func() { n.hello(now, r) })
 	case path == "/peer/inquiry" && r.Peer:
-		n.only(r, "POST", func() { n.out.Reply(r, 200, n.election.HandleInquiry(), 0) })
+		n.only(r, "POST", func() { n.out.Reply(r, 200, n.election.HandleInquiry(now), 0) })
 	default:
 		n.out.Refuse(r, 404, "no such path", 0)
 	}
@@ -245,6 +245,11 @@
 		n.out.Refuse(r, 503, "no leader known yet", 0)
 		return
 	}
+	if n.election.Alone(now) {
+		// Users who are sent here are all refused until it is over, and others would serve them.
+		n.out.Refuse(r, 503, "cut off from the state service and the other controllers", 0)
+		return
+	}
 	n.out.Reply(r, 200, map[string]bool{"ready": true}, 0)
 }
 
