--- a/cmd/gullrudder/served.go
+++ b/cmd/gullrudder/served.go
@@ -26,8 +26,11 @@
 	fmt.Fprintln(w, "\tNAME\tSERVED\tDONE\tLATE\tWITH ROOM OF THEIR OWN")
 	for _, g := range list.Groups {
 		kind, mark := "class", ""
-		if g.Team {
+		switch {
+		case g.Team:
 			kind = "team"
+		case g.Large:
+			kind = "largest of class"
 		}
 		if g.Share < list.Least {
 			mark = "behind"
--- a/internal/controller/node/status.go
+++ b/internal/controller/node/status.go
@@ -105,6 +105,8 @@
 			case state != "":
 			case l.fleet.Expired(now, m):
 				state = "silent"
+			case m.Unreached:
+				state = "does not hear"
 			default:
 				state = "ok"
 			}
--- a/internal/controller/requests/explain.go
+++ b/internal/controller/requests/explain.go
@@ -249,8 +249,11 @@
 		x.because("team %s uses all that its limit allows (%g CPUs, %g cards)", j.Team, team.CPULimit, team.CardsLimit)
 		x.change("a higher limit of team %s, or the end of a task of the team", j.Team)
 	}
-	may, room, held, zones, fetched := 0, 0, 0, 0, 0
+	may, room, held, zones, fetched, deaf := 0, 0, 0, 0, 0, 0
 	for _, m := range d.fleet.Up() {
+		if m.Unreached {
+			deaf++
+		}
 		if !place.Usable(j, m) || m.Draining != workers.InUse {
 			continue
 		}
@@ -293,6 +296,12 @@
 	if held > 0 {
 		x.because("%d machines with room are held for jobs before it", held)
 	}
+	if deaf > 0 {
+		x.because("%d machines report and seem to hear nothing of us: they start nothing, and are given back if they answer no question", deaf)
+	}
+	if bound := d.opt.BeginBound; bound > 0 && !j.Service && !j.Gang && j.NDone+len(j.Active) == 0 && now.Sub(j.Submitted) < bound {
+		x.change("waiting: if nothing of it has begun in %.0f s, some of its tasks go before others", (bound - now.Sub(j.Submitted)).Seconds())
+	}
 	if zones > 0 {
 		x.because("%d machines with room are in zones where it may have no more tasks", zones)
 		x.change("a job that is not bound to one zone, or spread less")
