A leader is deaf by machines that have shown themselves; the dead of a takeover tell nothing

All direct questions counted, and those of a takeover go ever again to machines that are no more: a new leader that had lost a zone with the one before, whose workers had called elsewhere meanwhile, would hand over in vain. Change: only a sample counts, of machines that are up under this leadership if there are any.

--- a/internal/controller/takeover/silence.go
+++ b/internal/controller/takeover/silence.go
@@ -38,14 +38,14 @@
 		return true
 	}
 	t.mayAsk--
-	t.question(now, m, max(m.Session, 1), 3)
+	t.question(now, m, max(m.Session, 1), 3, func(time.Time, bool) {})
 	return true
 }
 
-func (t *Takeover) question(now time.Time, m *workers.Machine, session uint64, tries int) {
+// question asks; told learns whether an answer came.
+func (t *Takeover) question(now time.Time, m *workers.Machine, session uint64, tries int, told func(now time.Time, answered bool)) {
 	t.asking++
 	q := t.reach.Ask(now, m)
-	missed := t.late(now, m) || t.hearing.Suspects(now)
 	t.box.Add(outbox.Call{Service: outbox.Worker, Addr: m.Addr, Method: "POST", Path: "/commands",
 		Body: workers.Direct{Token: t.token, Session: session, Commands: []workers.Command{}}, Timeout: askAgain,
 		Done: func(now time.Time, res outbox.Result) {
@@ -56,16 +56,16 @@
 			var r workers.Report
 			if res.Status != 200 && res.Status != 409 || packed.Unmarshal(res.Body, &r) != nil || r.Machine != m.ID {
 				t.reach.NoAnswer(now, m)
-				t.hearing.Asked(now, missed, false)
+				told(now, false)
 				return
 			}
-			t.hearing.Asked(now, missed, true)
+			told(now, true)
 			switch reborn := t.reach.Answer(now, m, q, &r); {
 			case reborn:
 				t.clerk.Ended(now, m, t.fleet.Clear(m))
 			case res.Status == 409:
 				if tries > 0 && r.Token <= t.token && !m.Accounted {
-					t.question(now, m, r.Session, tries-1)
+					t.question(now, m, r.Session, tries-1, func(time.Time, bool) {})
 				}
 			case !m.Accounted && r.Token == t.token && m.Newer(&r):
 				t.clerk.Observe(now, m, &r, false)
@@ -90,8 +90,10 @@
 // sample is how many machines are asked directly, twice a second, while the silence may be our own.
 const sample = 4
 
-// askSample asks some of the machines, others each time: what they answer tells whether it is we who are not reached.
-// If only callers elsewhere are the reason, those that report are asked.
+// askSample asks some of the machines, others each time: what they answer tells whether it is we who are not
+// reached. Only machines that have shown themselves to this leadership tell, if there are any: the questions of a
+// takeover go ever again to those that are no more, and counted they would make a leader deaf that has lost a
+// zone. If only callers elsewhere are the reason, those that report are asked.
 func (t *Takeover) askSample(now time.Time) {
 	if now.Before(t.nextSample) || !t.hearing.Doubts(now) {
 		return
@@ -99,17 +101,19 @@
 	t.nextSample = now.Add(askAgain / 2)
 	missed := t.hearing.Suspects(now)
 	list := t.fleet.Sorted()
-	left := sample
-	for range list {
+	up := slices.ContainsFunc(list, func(m *workers.Machine) bool { return m.Up })
+	for left, looked := sample, 0; left > 0 && looked < len(list); looked++ {
 		t.sampled++
 		m := list[t.sampled%len(list)]
-		if left == 0 {
-			return
+		if up && !m.Up || m.Addr == "" || m.Draining != workers.InUse || t.fleet.Expired(now, m) || !missed && t.late(now, m) || !t.reach.Due(now, m) {
+			continue
 		}
-		if m.Up && m.Draining == workers.InUse && !t.fleet.Expired(now, m) && (missed || !t.late(now, m)) && t.reach.Due(now, m) {
-			left--
-			t.ask(now, m)
+		if t.mayAsk < 1 || t.asking >= t.cfg.Connections/16 {
+			return
 		}
+		left--
+		t.mayAsk--
+		t.question(now, m, max(m.Session, 1), 3, func(now time.Time, answered bool) { t.hearing.Asked(now, missed, answered) })
 	}
 }
 
--- a/internal/controller/takeover/takeover_test.go
+++ b/internal/controller/takeover/takeover_test.go
@@ -242,3 +242,41 @@
 		t.Error("places before the deletion is confirmed")
 	}
 }
+
+// A new leader whose roster is half of machines that are no more asks those again and again. That they do not answer
+// is no sign that it is cut off: machines that have shown themselves answer. If none at all answers, it is.
+func TestDeadMachinesMakeNobodyDeaf(t *testing.T) {
+	for name, alive := range map[string]int{"half of them are there": 20, "none answers": 0} {
+		now := time.Unix(10_000, 0)
+		n := newTakeover(now, 9)
+		n.placing = false
+		for i := range 40 {
+			m := n.fleet.Machine(fmt.Sprintf("vm-%06d", i))
+			m.Addr, m.Rostered, m.Answered, m.Heard = m.ID, true, now, now
+			n.missing = append(n.missing, m)
+		}
+		deaf := false
+		n.hearing.Told("b", 40) // who waited for the leader before calls there
+		for range 80 {
+			now = now.Add(50 * time.Millisecond)
+			n.Tick(now, 50*time.Millisecond)
+			n.hearing.Tick(now, n.Expected(), n.Overdue())
+			for _, call := range n.box.Take() {
+				var i int
+				if _, err := fmt.Sscanf(call.Addr, "vm-%d", &i); err != nil || i >= alive {
+					call.Done(now, outbox.Result{})
+					continue
+				}
+				raw, err := packed.Marshal(workers.Report{Machine: call.Addr, Addr: call.Addr, Type: "small", Zone: "a", Session: 1, Seq: uint64(now.UnixMilli()), Token: 9})
+				if err != nil {
+					t.Fatal(err)
+				}
+				call.Done(now, outbox.Result{Status: 200, Body: raw})
+			}
+			deaf = deaf || n.hearing.Deaf(now)
+		}
+		if deaf != (alive == 0) {
+			t.Errorf("%s: deaf %v", name, deaf)
+		}
+	}
+}
