--- a/internal/controller/reports/answer.go
+++ b/internal/controller/reports/answer.go
@@ -16,14 +16,8 @@
 	list := c.list
 	c.list = nil
 	for _, p := range list {
-		if p.is == reach.Unproven && c.reach.Vouched(now, p.m, p.rep) {
-			p.is = reach.Fresh
-			c.enrol(now, p.m, p.rep)
-		}
-		waits := p.is == reach.Fresh && p.m.Enrolling || p.is == reach.Unproven && !p.m.Rostered && !p.m.Up
-		if waits && placing && now.Sub(p.at) < enrolWait {
-			// It is asked whether it hears us, or its place on the roster is being written; with that it gets
-			// tasks at once.
+		if p.is == reach.Fresh && p.m.Enrolling && placing && now.Sub(p.at) < enrolWait {
+			// Its place on the roster is being written; with that it gets tasks at once.
 			c.list = append(c.list, p)
 			continue
 		}
--- a/internal/controller/workers/reach/reach.go
+++ b/internal/controller/workers/reach/reach.go
@@ -113,14 +113,8 @@
 		return Copy
 	}
 	if r.Token != b.token && !m.Up {
-		// It may come from before this leadership, and from a machine that is no more. An answer to a question of
-		// ours is certain; else the next report, which has our token.
-		if l.reported.IsZero() {
-			l.reported = now
-			if !m.Rostered {
-				b.want = append(b.want, m)
-			}
-		}
+		// It may come from before this leadership, and from a machine that is no more. What is there has our token
+		// by the answer, and reports that at once.
 		if l.unheard >= unheard && l.deafened >= deafened {
 			// It was answered, and asked, and nothing has reached it: with a 200 each time its lease would never
 			// be over for certain, and a takeover would wait for it for ever.
@@ -169,17 +163,6 @@
 	return r.Session == l.session && r.Seq == l.seq
 }
 
-// Vouched reports whether a report that was not proven is the last thing that its machine sent before it
-// answered a question of ours, and takes it for new if so.
-func (b *Book) Vouched(now time.Time, m *workers.Machine, r *workers.Report) bool {
-	l := b.of(m)
-	if !m.Accounted || l.doubt != None || r.Session != m.Session || r.Seq+1 != m.Seq || l.session != 0 {
-		return false
-	}
-	l.session, l.seq, l.reported = r.Session, r.Seq, now
-	return true
-}
-
 // Answered takes in that the machine's newest report gets a 200.
 func (b *Book) Answered(m *workers.Machine) { b.of(m).granted = true }
 
