After a last reading: one check of the questions' budget, no methods without use

What the change wrote twice (the budget, in ask and askSample) or kept without a caller (reach.Unheard, reach.Doubts, the latter read by a test, which now looks at the field). Behaviour and assertions are as before.

--- a/internal/controller/takeover/silence.go
+++ b/internal/controller/takeover/silence.go
@@ -30,8 +30,7 @@
 // is used up. It raises the worker's token, so that nothing of an earlier leader is executed
 // any more, and its answer is the worker's report.
 func (t *Takeover) ask(now time.Time, m *workers.Machine) bool {
-	// A question that finds no socket of ours must not look like a worker's silence.
-	if t.mayAsk < 1 || t.asking >= t.cfg.Connections/16 {
+	if !t.canAsk() {
 		return false
 	}
 	if m.Addr == "" || !t.reach.Due(now, m) {
@@ -42,6 +41,10 @@
 	return true
 }
 
+// canAsk reports whether the budget lets a question go: one that finds no socket of ours must not look like a
+// worker's silence.
+func (t *Takeover) canAsk() bool { return t.mayAsk >= 1 && t.asking < t.cfg.Connections/16 }
+
 // question asks; told learns whether an answer came.
 func (t *Takeover) question(now time.Time, m *workers.Machine, session uint64, tries int, told func(now time.Time, answered bool)) {
 	t.asking++
@@ -108,7 +111,7 @@
 		if up && !m.Up || m.Addr == "" || m.Draining != workers.InUse || t.fleet.Expired(now, m) || !missed && t.late(now, m) || !t.reach.Due(now, m) {
 			continue
 		}
-		if t.mayAsk < 1 || t.asking >= t.cfg.Connections/16 {
+		if !t.canAsk() {
 			return
 		}
 		left--
--- a/internal/controller/workers/reach/model_test.go
+++ b/internal/controller/workers/reach/model_test.go
@@ -173,7 +173,7 @@
 	j := jobs.NewJob(jobs.Spec{ID: "job-1", Tasks: 1, CPUs: 1}, now)
 	fleet.Place(m, &jobs.Attempt{Key: jobs.Key{Job: "job-1"}, Number: 1, Machine: m.ID, Job: j, Assigned: now})
 	report()
-	if d, _ := b.Doubts(m); b.Hears(m) || d != StartsLost || len(b.Wanted()) == 0 {
+	if d := b.of(m).doubt; b.Hears(m) || d != StartsLost || len(b.Wanted()) == 0 {
 		t.Errorf("doubt %v, and it gets starts %v", d, b.Hears(m))
 	}
 	for range 2 {
--- a/internal/controller/workers/reach/reach.go
+++ b/internal/controller/workers/reach/reach.go
@@ -202,14 +202,6 @@
 	return l != nil && (l.doubt > NoProof || l.reborn)
 }
 
-// Doubts says why a machine may not hear us, and since when.
-func (b *Book) Doubts(m *workers.Machine) (Doubt, time.Time) {
-	if l := b.links[m.ID]; l != nil {
-		return l.doubt, l.since
-	}
-	return NoProof, time.Time{}
-}
-
 // Wanted are the machines that are to be asked as soon as can be: what they hear is in doubt.
 func (b *Book) Wanted() []*workers.Machine {
 	list := b.want
@@ -261,14 +253,6 @@
 	}
 }
 
-// Unheard is how many questions in a row the machine has not answered.
-func (b *Book) Unheard(m *workers.Machine) int {
-	if l := b.links[m.ID]; l != nil {
-		return l.unheard
-	}
-	return 0
-}
-
 // Silent reports whether the machine answers no questions, or counts anew for so long that it is better given
 // back: sessions that it had before have to end one by one.
 func (b *Book) Silent(now time.Time, m *workers.Machine) bool {
