A leader that has not read its ledger renews leases only while that is in time for any cancellation

Cause: a leader that had won the key and could not read the ledger answered every report with 200 for as long as it lived on promises. Change: leader/horizon. Every greeting of a leader that has read its ledger says how old the oldest cancellation is whose tasks may still be there, and brings back a stamp of the greeted one, so that a late greeting counts from when that was made. Before the ledger is read a 200 is given only until that time plus cancel_s less lease and margin.

--- a/internal/controller/book/book.go
+++ b/internal/controller/book/book.go
@@ -40,6 +40,7 @@
 	Jobs     map[string]*jobs.Job // unfinished; for looking only
 	finals   map[string]Final     // finished jobs that are in the live pages
 	history  *history.Keeper      // all others
+	settling map[*jobs.Job]bool   // cancelled jobs whose tasks may still be there
 	damaged  bool                 // the history cannot be read: nobody is answered
 	late     int                  // bounds on waiting that were missed
 	nextSave time.Time
@@ -58,7 +59,7 @@
 // New makes an empty book.
 func New(w World) *Book {
 	return &Book{cfg: w.Platform, opt: w.Options, log: w.Log, ledger: w.Ledger, fleet: w.Fleet, times: w.Times, changed: func() {}, done: func(time.Time, *jobs.Job) {},
-		Jobs: map[string]*jobs.Job{}, finals: map[string]Final{}}
+		Jobs: map[string]*jobs.Job{}, finals: map[string]Final{}, settling: map[*jobs.Job]bool{}}
 }
 
 // OnChange names who is to know when the order of the jobs is not what it was.
@@ -78,10 +79,37 @@
 
 // Cancelled takes in that a job's cancellation is durable.
 func (b *Book) Cancelled(now time.Time, j *jobs.Job) {
-	j.State = jobs.Cancelled
+	j.State, j.Told = jobs.Cancelled, now
+	b.settling[j] = true
 	b.times.Close(now, j)
 }
 
+// Unsettled is the time before which every cancellation that was confirmed is carried out: now if all are. Not known: an
+// earlier leader has confirmed one, and nobody can tell when.
+func (b *Book) Unsettled(now time.Time) (oldest time.Time, known bool) {
+	oldest = now
+	for j := range b.settling {
+		if j.Told.IsZero() {
+			return time.Time{}, false
+		}
+		if j.Told.Before(oldest) {
+			oldest = j.Told
+		}
+	}
+	return oldest, true
+}
+
+// Unwanted reports whether a task is of a job that is cancelled, or about to be: it is to end, whatever else is known.
+func (b *Book) Unwanted(key jobs.Key) bool {
+	if j := b.Jobs[key.Job]; j != nil {
+		return j.Cancelling || j.State == jobs.Cancelled
+	}
+	if f, ok := b.finals[key.Job]; ok {
+		return !f.Done
+	}
+	return b.history.Know(key.Job) == history.Cancelled
+}
+
 // Final is a finished job that is in the live pages.
 func (b *Book) Final(id string) (Final, bool) {
 	f, ok := b.finals[id]
@@ -158,6 +186,7 @@
 	b.finals[j.ID] = Final{Done: j.State == jobs.Done, Tasks: j.Tasks, since: now}
 	b.ledger.Over(j.ID)
 	delete(b.Jobs, j.ID)
+	delete(b.settling, j)
 	for c := range j.Chunks() {
 		b.ledger.Drop(now, j.ChunkName(c))
 	}
@@ -291,8 +320,9 @@
 	}
 }
 
-// Restore takes in an entry of the ledger at a takeover; since is when the leadership began.
-func (b *Book) Restore(now, since time.Time, name string, decode func(any) error) {
+// Restore takes in an entry of the ledger at a takeover; since is when the leadership began, and told the earliest that a
+// cancellation can have been confirmed that is not carried out yet, zero if nobody can tell.
+func (b *Book) Restore(now, since, told time.Time, name string, decode func(any) error) {
 	var rec jobs.Record
 	if err := decode(&rec); err != nil {
 		b.log.Error("a job cannot be read", "job", name, "error", err)
@@ -309,6 +339,10 @@
 		return
 	}
 	b.Jobs[name] = j
+	if j.State == jobs.Cancelled {
+		j.Told = told
+		b.settling[j] = true
+	}
 	if j.State == jobs.Accepted {
 		b.times.Restore(j, rec.Spent, since)
 	}
--- a/internal/controller/jobs/jobs.go
+++ b/internal/controller/jobs/jobs.go
@@ -96,6 +96,7 @@
 	Saving   bool
 	Stopping time.Time // when a stop was last sent
 	Seen     uint64    // the last look at its machine that found it
+	Kills    int       // answers to its machine that told it to end at once
 	Stray    bool      // not ours to run: to be stopped, but it holds its place until gone
 }
 
@@ -124,6 +125,7 @@
 	EndBy      time.Duration // bound on the wait for its last task's start
 	Late       bool          // the first of them was missed, and that was told
 	Cancelling bool          // a cancellation is on its way into the ledger; nothing starts any more
+	Told       time.Time     // the earliest that its user can have been told that it is cancelled; zero: not known
 	Finishing  bool          // all tasks are done, which is on its way into the ledger
 
 	NDone     int
--- a/internal/controller/leader/leader.go
+++ b/internal/controller/leader/leader.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"gullrudder/internal/controller/leader/hearing"
+	"gullrudder/internal/controller/leader/horizon"
 	"gullrudder/internal/wire/outbox"
 	"gullrudder/internal/wire/packed"
 )
@@ -31,6 +32,7 @@
 	Promise time.Duration
 	Slack   time.Duration
 	Report  time.Duration // how often a worker reports
+	Reach   time.Duration // how long after a confirmed cancellation a lease may be renewed by who does not know of it
 }
 
 type mode int
@@ -81,6 +83,9 @@
 	leaderHeard   time.Time
 	epoch         int // outdates answers to calls of an earlier mode
 	hearing       *hearing.Hearing
+	horizon       *horizon.Horizon
+	reads         bool      // as leader: the ledger is read, and oldest is known
+	oldest        time.Time // of the confirmed cancellations whose tasks may still be there; the time of asking if there are none
 	met           time.Time // when another controller last spoke to us, or answered
 	spoke         time.Time // when the state service last answered, whatever it said
 	callAt        time.Time // no other controller is called before this, only to hear whether it is there
@@ -92,17 +97,31 @@
 	next    time.Time
 	sent    time.Time // when the request was sent whose promise we hold
 	granted bool
+	stamp   uint64 // of its last answer
 }
 
 // New makes the election of a process that has just started.
 func New(opt Options, now time.Time, rng *rand.Rand, log *slog.Logger) *Election {
 	return &Election{opt: opt, log: log, rng: rng, booted: now, met: now, spoke: now, cleared: map[string]bool{}, promises: map[string]*promise{},
-		hearing: hearing.New(opt.Report)}
+		hearing: hearing.New(opt.Report), horizon: horizon.New(opt.Reach, rng)}
 }
 
 // Hearing is what is known of whether the workers reach this controller.
 func (e *Election) Hearing() *hearing.Hearing { return e.hearing }
 
+// Horizon is what is known of the cancellations that other controllers may have confirmed.
+func (e *Election) Horizon() *horizon.Horizon { return e.horizon }
+
+// Knows takes in from a leader that has read its ledger that all cancellations which were confirmed before oldest are carried
+// out; not known: there are some of which nobody can tell when they were confirmed. It goes with the next greetings.
+func (e *Election) Knows(now, oldest time.Time, known bool) {
+	e.reads = known && e.Entitled(now)
+	if e.reads {
+		e.oldest = oldest
+		e.horizon.Read(oldest)
+	}
+}
+
 // shorter is a span counted by the side that relies on it: less the drift of two
 // clocks (each up to 0.05 %) and a slack.
 func (e *Election) shorter(d time.Duration) time.Duration { return d - d/500 - e.opt.Slack }
@@ -231,7 +250,7 @@
 func (e *Election) resume(now, readAt time.Time) {
 	e.mode = following
 	e.epoch++
-	e.touching, e.reading, e.absent, e.failures, e.served = false, false, false, 0, time.Time{}
+	e.touching, e.reading, e.absent, e.failures, e.served, e.reads = false, false, false, 0, time.Time{}, false
 	e.promises = map[string]*promise{}
 	e.readAt = readAt
 }
@@ -479,7 +498,7 @@
 	}
 	e.mode = leading
 	e.epoch++
-	e.absent, e.touching, e.failures = false, false, 0
+	e.absent, e.touching, e.failures, e.reads = false, false, 0, false
 	e.token, e.since, e.stateUntil = token, now, until
 	e.nextTouch = leased.Add(e.opt.Lease / 4)
 	e.promises = map[string]*promise{}
--- a/internal/controller/leader/promises.go
+++ b/internal/controller/leader/promises.go
@@ -11,7 +11,8 @@
 // Hello is what the leader sends to each other controller; it asks for a promise. With Doubt it
 // asks too whether the state service answers the other. With Yield the leadership is over: nobody
 // relies on a promise to it any more, and whoever can is to end its lease; To is who had better lead
-// next. Deaf says that no worker reaches the leader.
+// next. Deaf says that no worker reaches the leader. With Read the leader has read its ledger, and all cancellations that
+// were confirmed longer than Age ago are carried out; Echo is the stamp of the other's last answer.
 type Hello struct {
 	Name  string `msgpack:"name"`
 	Token uint64 `msgpack:"token"`
@@ -19,14 +20,21 @@
 	Yield uint64 `msgpack:"yield,omitempty"`
 	To    string `msgpack:"to,omitempty"`
 	Deaf  bool   `msgpack:"deaf,omitempty"`
+
+	Read bool          `msgpack:"read,omitempty"`
+	Age  time.Duration `msgpack:"age,omitempty"`
+	Echo uint64        `msgpack:"echo,omitempty"`
 }
 
 // HelloAnswer says whether the promise is given, whether the state service has answered of late, and how
-// many workers came to the other controller since it knows that they do not reach the leader.
+// many workers came to the other controller since it knows that they do not reach the leader. Stamp tells when it
+// was given, to the one who gave it.
 type HelloAnswer struct {
 	Promised bool `msgpack:"promised"`
 	Sees     bool `msgpack:"sees,omitempty"`
 	Callers  int  `msgpack:"callers,omitempty"`
+
+	Stamp uint64 `msgpack:"stamp,omitempty"`
 }
 
 // InquiryAnswer tells a newly started controller whether it may have been promised to.
@@ -56,7 +64,10 @@
 	e.promisedToken = max(e.promisedToken, h.Token)
 	e.probe = e.probe || h.Doubt
 	e.hearing.Warned(now, h.Deaf)
-	return HelloAnswer{Promised: true, Sees: now.Sub(e.seen) < e.opt.Promise/4, Callers: e.hearing.Callers(now)}
+	if h.Read {
+		e.horizon.Heard(h.Echo, h.Age)
+	}
+	return HelloAnswer{Promised: true, Sees: now.Sub(e.seen) < e.opt.Promise/4, Callers: e.hearing.Callers(now), Stamp: e.horizon.Stamp(now)}
 }
 
 // HandleInquiry answers a newly started controller. A leader whose renewal is late is not entitled, and may be so
@@ -93,8 +104,12 @@
 		}
 		pr.asking = true
 		epoch, sent := e.epoch, now
+		h := Hello{Name: e.opt.Name, Token: e.token, Doubt: e.doubts(now), Deaf: e.hearing.Warns(now)}
+		if e.reads && e.Entitled(now) {
+			h.Read, h.Age, h.Echo = true, now.Sub(e.oldest), pr.stamp
+		}
 		box.Add(outbox.Call{Service: outbox.Peer, Addr: p.Addr, Method: "POST", Path: "/peer/hello",
-			Body: Hello{Name: e.opt.Name, Token: e.token, Doubt: e.doubts(now), Deaf: e.hearing.Warns(now)}, Timeout: e.opt.Promise / 3,
+			Body: h, Timeout: e.opt.Promise / 3,
 			Done: func(now time.Time, r outbox.Result) {
 				if e.epoch != epoch {
 					return
@@ -116,6 +131,7 @@
 				if a.Promised && e.Entitled(now) {
 					pr.sent, pr.granted = sent, true
 				}
+				pr.stamp = a.Stamp
 				if a.Sees {
 					e.othersServed(now, box, p.Name)
 				}
--- a/internal/controller/ledger/ledger.go
+++ b/internal/controller/ledger/ledger.go
@@ -430,7 +430,9 @@
 	l.lost = true
 }
 
-// doubt tells the waiters that their change is not certain yet.
+// doubt tells the waiters that their change is not certain yet: those of the commit, and those whose changes wait behind
+// it. Until it is read back nothing else is sent, and in an outage users who had come a moment before it waited
+// for its whole length.
 func (l *Ledger) doubt(now time.Time) {
 	if l.failing.IsZero() {
 		l.failing = now
@@ -440,6 +442,11 @@
 			w(now, false)
 		}
 	}
+	for p := range l.dirty {
+		for _, w := range p.waiters {
+			w(now, false)
+		}
+	}
 }
 
 // again puts the pages of the commit back.
--- a/internal/controller/ledger/ledger_test.go
+++ b/internal/controller/ledger/ledger_test.go
@@ -202,3 +202,22 @@
 		t.Error("an entry may outgrow its page")
 	}
 }
+
+// While the outcome of a commit is not known nothing else is sent: who waits for a change behind it is told so at once, and
+// again when it is durable.
+func TestWhoWaitsBehindACommitInDoubtIsTold(t *testing.T) {
+	f := loaded(t)
+	f.set("job-1", 1, nil)
+	c := f.flush()
+	var told []bool
+	f.set("job-2", 2, func(_ time.Time, ok bool) { told = append(told, ok) })
+	c.Done(f.now, outbox.Result{})
+	if len(told) != 1 || told[0] {
+		t.Fatalf("told %v while the commit before is in doubt", told)
+	}
+	f.one().Done(f.now, f.result(404, map[string]any{"tide": 7})) // it was not executed
+	f.flush().Done(f.now, f.result(200, map[string]any{"tide": 9}))
+	if !told[len(told)-1] {
+		t.Errorf("told %v at the end", told)
+	}
+}
--- a/internal/controller/node/node.go
+++ b/internal/controller/node/node.go
@@ -16,6 +16,7 @@
 	"gullrudder/internal/controller/fleet"
 	"gullrudder/internal/controller/jobs"
 	"gullrudder/internal/controller/leader"
+	"gullrudder/internal/controller/leader/horizon"
 	"gullrudder/internal/controller/ledger"
 	"gullrudder/internal/controller/pace"
 	"gullrudder/internal/controller/place"
@@ -107,7 +108,8 @@
 		n.peers[p.Name] = p.Addr
 	}
 	n.election = leader.New(leader.Options{Name: cfg.Name, Peers: peers, Lease: opt.LeaderLease,
-		Promise: opt.Promise, Slack: 100 * time.Millisecond, Report: cfg.ReportEvery}, now, rng, log)
+		Promise: opt.Promise, Slack: 100 * time.Millisecond, Report: cfg.ReportEvery,
+		Reach: horizon.Reach(cfg.CancelWithin, workers.LeaseEnd(cfg.WorkerLease))}, now, rng, log)
 	return n
 }
 
@@ -214,6 +216,10 @@
 		n.out.Reply(r, 421, workers.Elsewhere{Leader: to}, 0)
 		return
 	}
+	if !n.lead.takeover.MayRenew(now) {
+		n.out.Refuse(r, 503, "the ledger is not read", 0)
+		return
+	}
 	if n.lead.clerk.Report(now, r, n.lead.takeover.Built()) {
 		hearing.Reported(now)
 	}
@@ -262,6 +268,8 @@
 		return
 	}
 	l.book.Tick(now, &n.box)
+	oldest, known := l.book.Unsettled(now)
+	n.election.Knows(now, oldest, known)
 	l.clerk.TakeGone(now)
 	if !now.Before(l.nextLook) {
 		l.nextLook = now.Add(200 * time.Millisecond)
@@ -351,7 +359,7 @@
 	l.clerk = reports.NewClerk(reports.World{Platform: n.cfg, Token: token, Ledger: l.ledger, Book: l.book, Fleet: l.fleet, Cloud: l.cloud,
 		Planner: l.planner, Placer: l.placer, Times: l.times, Pace: slow, Blame: blamed, Reach: links, Answers: &n.out, Log: n.log})
 	l.takeover = takeover.New(takeover.World{Platform: n.cfg, Token: token, Since: now, Ledger: l.ledger, Book: l.book, Settings: l.settings,
-		Fleet: l.fleet, Cloud: l.cloud, Clerk: l.clerk, Placer: l.placer, Floor: l.planner.Floor(), Zones: l.zones, Reach: links, Hearing: n.election.Hearing(), Box: &n.box, Log: n.log})
+		Fleet: l.fleet, Cloud: l.cloud, Clerk: l.clerk, Placer: l.placer, Floor: l.planner.Floor(), Zones: l.zones, Reach: links, Hearing: n.election.Hearing(), Horizon: n.election.Horizon(), Box: &n.box, Log: n.log})
 	l.requests = requests.NewDesk(requests.World{Platform: n.cfg, Options: opt, Ledger: l.ledger, Book: l.book, Fleet: l.fleet, Cloud: l.cloud,
 		Planner: l.planner, Placer: l.placer, Rental: l.rental, Takeover: l.takeover, Times: l.times, Blame: blamed, Zones: l.zones,
 		Acting: func() bool { return n.lead == l && n.acting }, Answers: &n.out, Box: &n.box, Log: n.log})
--- a/internal/controller/reports/clerk.go
+++ b/internal/controller/reports/clerk.go
@@ -11,6 +11,7 @@
 	"gullrudder/internal/config"
 	"gullrudder/internal/controller/book"
 	"gullrudder/internal/controller/fleet"
+	"gullrudder/internal/controller/leader/horizon"
 	"gullrudder/internal/controller/ledger"
 	"gullrudder/internal/controller/pace"
 	"gullrudder/internal/controller/place"
@@ -38,6 +39,8 @@
 	rep *workers.Report
 	is  reach.Verdict
 	at  time.Time
+
+	built bool // the ledger was read when it came
 }
 
 // Clerk is a leader's dealings with reports.
@@ -56,6 +59,7 @@
 	pace    *pace.Book
 	blame   *blame.Book
 	reach   *reach.Book
+	reaches time.Duration // how long after a cancellation a lease that is given still ends in time
 	list    []pending
 }
 
@@ -80,7 +84,8 @@
 // NewClerk makes the clerk of a new leadership.
 func NewClerk(w World) *Clerk {
 	return &Clerk{cfg: w.Platform, log: w.Log, out: w.Answers, token: w.Token, ledger: w.Ledger, book: w.Book, fleet: w.Fleet, cloud: w.Cloud,
-		planner: w.Planner, placer: w.Placer, times: w.Times, pace: w.Pace, blame: w.Blame, reach: w.Reach}
+		planner: w.Planner, placer: w.Placer, times: w.Times, pace: w.Pace, blame: w.Blame, reach: w.Reach,
+		reaches: horizon.Reach(w.Platform.CancelWithin, w.Fleet.Lease())}
 }
 
 // TurnAway refuses the reports that still wait for an answer.
@@ -123,7 +128,7 @@
 		c.Observe(now, m, &rep, true)
 		c.enrol(now, m, &rep)
 	}
-	c.list = append(c.list, pending{r, m, &rep, is, now})
+	c.list = append(c.list, pending{r, m, &rep, is, now, built})
 	return is == reach.Fresh
 }
 
--- a/internal/controller/takeover/takeover.go
+++ b/internal/controller/takeover/takeover.go
@@ -14,6 +14,7 @@
 	"gullrudder/internal/controller/fleet"
 	"gullrudder/internal/controller/jobs"
 	"gullrudder/internal/controller/leader/hearing"
+	"gullrudder/internal/controller/leader/horizon"
 	"gullrudder/internal/controller/ledger"
 	"gullrudder/internal/controller/place"
 	"gullrudder/internal/controller/reports"
@@ -43,6 +44,7 @@
 	zones    *zones.Book
 	reach    *reach.Book
 	hearing  *hearing.Hearing
+	horizon  *horizon.Horizon
 
 	first      bool               // the ledger was empty: nobody has led before
 	built      bool               // the ledger has been taken over
@@ -55,6 +57,7 @@
 	nextSample time.Time
 	expected   int  // machines whose reports should come, their leases not being over
 	overdue    int  // of these, those whose reports should have come
+	refused    bool // a report was, since the ledger is not read
 	ended      bool // the leadership: answers that are still to come change nothing
 }
 
@@ -74,6 +77,7 @@
 	Zones    *zones.Book
 	Reach    *reach.Book
 	Hearing  *hearing.Hearing // whether the workers reach this controller
+	Horizon  *horizon.Horizon // which cancellations can be open that an earlier leader has confirmed
 	Box      *outbox.Box
 	Log      *slog.Logger
 }
@@ -81,7 +85,7 @@
 // New begins a takeover with nothing but the ledger to come.
 func New(w World) *Takeover {
 	return &Takeover{cfg: w.Platform, log: w.Log, box: w.Box, token: w.Token, since: w.Since, ledger: w.Ledger, book: w.Book,
-		settings: w.Settings, fleet: w.Fleet, cloud: w.Cloud, clerk: w.Clerk, placer: w.Placer, floor: w.Floor, zones: w.Zones, reach: w.Reach, hearing: w.Hearing}
+		settings: w.Settings, fleet: w.Fleet, cloud: w.Cloud, clerk: w.Clerk, placer: w.Placer, floor: w.Floor, zones: w.Zones, reach: w.Reach, hearing: w.Hearing, horizon: w.Horizon}
 }
 
 // Close makes answers that are still to come harmless.
@@ -105,6 +109,19 @@
 // First reports whether nobody has led before: the ledger was empty.
 func (t *Takeover) First() bool { return t.first }
 
+// MayRenew reports whether a report may be answered with 200 now. Before the ledger is read this keeps tasks alive whose
+// cancellation this leader does not know of: only while their leases end in time all the same.
+func (t *Takeover) MayRenew(now time.Time) bool {
+	if t.built || now.Before(t.horizon.Until()) {
+		return true
+	}
+	if !t.refused {
+		t.refused = true
+		t.log.Info("renews no leases before the ledger is read", "token", t.token)
+	}
+	return false
+}
+
 // Read takes the ledger over once it is loaded.
 func (t *Takeover) Read(now time.Time) {
 	if !t.built && t.ledger.Loaded() {
@@ -161,7 +178,7 @@
 			chunks = append(chunks, chunk{name, id, c, v})
 			return
 		}
-		t.book.Restore(now, t.since, name, decode)
+		t.book.Restore(now, t.since, t.horizon.Since(), name, decode)
 	})
 	for _, c := range chunks {
 		t.book.RestoreChunk(now, c.name, c.id, c.c, c.v)
--- a/internal/controller/takeover/takeover_test.go
+++ b/internal/controller/takeover/takeover_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"log/slog"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -11,6 +12,7 @@
 	"gullrudder/internal/controller/fleet"
 	"gullrudder/internal/controller/jobs"
 	"gullrudder/internal/controller/leader/hearing"
+	"gullrudder/internal/controller/leader/horizon"
 	"gullrudder/internal/controller/ledger"
 	"gullrudder/internal/controller/pace"
 	"gullrudder/internal/controller/place"
@@ -53,7 +55,7 @@
 	clerk := reports.NewClerk(reports.World{Platform: cfg, Token: token, Ledger: led, Book: b, Fleet: f, Cloud: cloud, Planner: planner,
 		Placer: placer, Pace: pace.New(cfg.ReportEvery), Blame: blame.New(), Reach: links, Answers: k.out, Log: log})
 	k.Takeover = New(World{Platform: cfg, Token: token, Since: now, Ledger: led, Book: b, Settings: settings.New(opt, led, k.out, log), Fleet: f,
-		Cloud: cloud, Clerk: clerk, Placer: placer, Floor: planner.Floor(), Zones: zones.New(cfg.ReportEvery, now, log), Reach: links, Hearing: k.hearing, Box: box, Log: log})
+		Cloud: cloud, Clerk: clerk, Placer: placer, Floor: planner.Floor(), Zones: zones.New(cfg.ReportEvery, now, log), Reach: links, Hearing: k.hearing, Horizon: horizon.New(0, rand.New(rand.NewPCG(1, 1))), Box: box, Log: log})
 	k.built, k.placing, k.first = true, true, true
 	return k
 }
--- a/internal/standin/day.go
+++ b/internal/standin/day.go
@@ -59,6 +59,28 @@
 		w.State.Refuse(w.State.leader(), 3*time.Second)
 	},
 	"state away": func(w *World, span time.Duration, _, _ int, _ time.Duration) { w.State.Outage(span / 2) },
+	"gap": func(w *World, span time.Duration, _, _ int, soon time.Duration) {
+		w.State.Gap(time.Second+soon, min(span, w.Opt.Cancel)+5*time.Second)
+		w.At(time.Second, func() { w.Users.Cancel(10) })
+	},
+	"late writes": func(w *World, span time.Duration, some, _ int, _ time.Duration) {
+		w.State.Late(0.1*float64(some), span)
+	},
+	"slow state": func(w *World, span time.Duration, _, _ int, _ time.Duration) { w.State.Slow(span) },
+	"held up": func(w *World, span time.Duration, some, _ int, _ time.Duration) {
+		w.Cloud.Hold(8*some, min(span, 8*time.Second))
+	},
+	"handed on": func(w *World, _ time.Duration, some, _ int, soon time.Duration) {
+		w.State.Hand(1+some, time.Second+soon)
+	},
+	"cancellations": func(w *World, _ time.Duration, some, _ int, _ time.Duration) { w.Users.Cancel(10 * some) },
+	"won, not read": func(w *World, span time.Duration, _, _ int, soon time.Duration) {
+		w.Users.Cancel(5)
+		w.OnceAt(keyWritten, func(string) { w.State.Outage(span) })
+		if l := w.Leader(); l >= 0 {
+			w.Crash(l, soon)
+		}
+	},
 	"deaths": func(w *World, span time.Duration, some, _ int, _ time.Duration) {
 		for range 6 * some {
 			w.Cloud.Die()
@@ -115,8 +137,8 @@
 	byClass := map[string][]*modelJob{}
 	for _, id := range w.Users.ids {
 		j := w.model.jobs[id]
-		if j.accepted.IsZero() {
-			continue
+		if j.accepted.IsZero() || j.asked {
+			continue // what its user has cancelled is not to be served
 		}
 		d.Asked += float64(j.spec.Tasks) * j.spec.CPUs * j.run.Seconds()
 		byClass[j.spec.Class] = append(byClass[j.spec.Class], j)
--- a/internal/standin/model.go
+++ b/internal/standin/model.go
@@ -19,6 +19,7 @@
 type modelJob struct {
 	spec      jobs.Spec
 	run       time.Duration
+	apart     time.Duration // by how much each task runs longer than the one before
 	done      map[int]bool
 	accepted  time.Time // when its user was told; zero: not yet
 	cancelled time.Time // when its user was told
@@ -39,7 +40,7 @@
 
 func (m *model) runTime(k jobs.Key) time.Duration {
 	if j := m.jobs[k.Job]; j != nil {
-		return j.run
+		return j.run + time.Duration(k.Task)*j.apart
 	}
 	return time.Second
 }
--- a/internal/standin/rules_test.go
+++ b/internal/standin/rules_test.go
@@ -115,7 +115,7 @@
 	soon       time.Duration // until what ends is back
 }
 
-const troubleKinds = 20
+const troubleKinds = 29
 
 func (x trouble) strike(w *World) {
 	name := nodeName(x.node)
@@ -169,6 +169,32 @@
 		} else {
 			w.State.Outage(4 * time.Second)
 		}
+	case 20:
+		w.State.Gap(time.Second+x.soon, w.Opt.Cancel+x.span)
+		w.At(time.Second, func() { w.Users.Cancel(5) })
+	case 21:
+		w.State.Late(0.1+0.3*float64(x.node), x.span)
+	case 22:
+		w.State.Slow(x.span)
+	case 23:
+		w.Cloud.Hold(1+2*x.node, min(x.span, 6*time.Second))
+	case 24:
+		w.State.Hand(2+x.node, time.Second+x.soon)
+	case 25:
+		w.Users.Cancel(2 + 3*x.node)
+	case 26: // the next leader wins the key and cannot read the ledger
+		w.Users.Cancel(3)
+		w.OnceAt(keyWritten, func(string) { w.State.Outage(x.span) })
+		if l := w.Leader(); l >= 0 {
+			w.Crash(l, x.soon)
+		}
+	case 27: // all end, one returns, the others follow
+		for i := range w.Opt.Nodes {
+			w.Crash(i, x.soon+time.Duration((i+x.node)%w.Opt.Nodes)*time.Second)
+		}
+	case 28: // and there and back
+		w.State.Refuse(w.State.leader(), time.Second+x.soon)
+		w.At(2*time.Second, func() { w.State.Refuse(w.State.leader(), x.span) })
 	}
 }
 
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -29,6 +29,9 @@
 	watches  []func()
 	outage   time.Time            // until when nobody is served
 	refusing map[string]time.Time // node -> until when it alone gets 503
+	late     time.Time            // until when some transactions are carried out late
+	lateness float64              // which share of them
+	slow     time.Time            // until when answers are slow
 }
 
 type stateKey struct {
@@ -71,6 +74,32 @@
 	s.w.trouble(span)
 }
 
+// Late lets a share of the transactions go without an answer for a while; they are carried out 2 to 12 s after they were
+// sent, after newer ones.
+func (s *StateService) Late(share float64, span time.Duration) {
+	s.late, s.lateness = s.w.Now.Add(span), share
+	s.w.trouble(span + 12*time.Second)
+}
+
+// Slow lets every second answer take up to three seconds for a while: half of the time before the request is carried out, half after.
+func (s *StateService) Slow(span time.Duration) {
+	s.slow = s.w.Now.Add(span)
+	s.w.trouble(span + 3*time.Second)
+}
+
+// Hand hands the leadership from one to the next: whoever leads is refused alone for so long, so many times.
+func (s *StateService) Hand(times int, span time.Duration) {
+	for i := range times {
+		s.w.At(time.Duration(i)*span, func() { s.Refuse(s.leader(), span) })
+	}
+}
+
+// Gap is the state service away for all, after it has refused the leader alone: two troubles that meet.
+func (s *StateService) Gap(alone, span time.Duration) {
+	s.Refuse(s.leader(), alone+span)
+	s.w.At(alone, func() { s.Outage(span) })
+}
+
 func (s *StateService) expire(id uint64) {
 	l := s.leases[id]
 	if l == nil || s.w.Now.Before(l.ends) {
@@ -122,6 +151,25 @@
 		s.watch(node, q.Get("starts"), from, s.w.Now.Add(time.Duration(wait)*time.Millisecond), answer)
 		return
 	}
+	if target == "/commit" && s.w.Now.Before(s.late) && s.w.Rng.Float64() < s.lateness {
+		s.w.At(2*time.Second+time.Duration(s.w.Rng.IntN(10_000))*time.Millisecond, func() {
+			if !s.w.Now.Before(s.outage) {
+				s.answer(method, target, body, func(int, any) {})
+			}
+		})
+		return
+	}
+	if s.w.Now.Before(s.slow) && s.w.Rng.IntN(2) == 0 {
+		half := time.Duration(s.w.Rng.IntN(1500)) * time.Millisecond
+		s.w.At(half, func() {
+			if s.refuses(node) {
+				answer(503, nil)
+				return
+			}
+			s.answer(method, target, body, func(status int, body any) { s.w.At(half, func() { answer(status, body) }) })
+		})
+		return
+	}
 	s.answer(method, target, body, answer)
 }
 
--- a/internal/standin/troubles.go
+++ b/internal/standin/troubles.go
@@ -64,6 +64,16 @@
 	}
 }
 
+// Leader is the index of the controller that holds the leader's key; -1: none does.
+func (w *World) Leader() int {
+	for i := range w.nodes {
+		if nodeName(i) == w.State.leader() {
+			return i
+		}
+	}
+	return -1
+}
+
 // CutOneWay cuts what goes from one host to another; the way back stays open.
 func (w *World) CutOneWay(from, to string, span time.Duration) {
 	w.cuts[from+"|"+to] = w.Now.Add(span)
@@ -91,6 +101,24 @@
 	c.w.trouble(span + 4*c.w.Opt.Lease + time.Second)
 }
 
+// Hold holds up what some machines are sent, or all that goes on there, for some seconds each, one after the other.
+func (c *Cloud) Hold(count int, span time.Duration) {
+	list := c.running()
+	c.w.Rng.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	for k, m := range list[:min(count, len(list))] {
+		c.w.At(time.Duration(k)*200*time.Millisecond, func() {
+			if k%2 == 0 {
+				m.hangs = c.w.Now.Add(span)
+				return
+			}
+			for i := range c.w.Opt.Nodes {
+				c.w.CutOneWay(nodeName(i), m.id, span)
+			}
+		})
+	}
+	c.w.trouble(span + time.Duration(count)*200*time.Millisecond)
+}
+
 // copyOf delivers a report again, if reports are copied at present. Nobody hears the answer.
 func (c *Cloud) copyOf(raw []byte) {
 	if !c.w.Now.Before(c.copying) || c.w.Rng.IntN(2) == 0 {
@@ -137,14 +165,20 @@
 	moment int
 	until  time.Time
 	back   time.Duration
+	do     func(name string) // instead of ending it
 }
 
 // EndAt ends the first controller that comes to the moment within a while; it is back soon.
 func (w *World) EndAt(moment int, within, back time.Duration) {
-	w.traps = append(w.traps, trap{moment, w.Now.Add(within), back})
+	w.traps = append(w.traps, trap{moment: moment, until: w.Now.Add(within), back: back})
 	w.trouble(within + back)
 }
 
+// OnceAt does something when a controller comes to a moment of an election next.
+func (w *World) OnceAt(moment int, do func(name string)) {
+	w.traps = append(w.traps, trap{moment: moment, until: w.Now.Add(time.Hour), do: do})
+}
+
 // came is told of the moments; who comes to one with a trap ends.
 func (w *World) came(moment int, name string) {
 	for k, t := range w.traps {
@@ -152,6 +186,10 @@
 			continue
 		}
 		w.traps = append(w.traps[:k:k], w.traps[k+1:]...)
+		if t.do != nil {
+			t.do(name)
+			return
+		}
 		for i := range w.nodes {
 			if nodeName(i) == name {
 				w.Crash(i, t.back)
--- a/internal/standin/users.go
+++ b/internal/standin/users.go
@@ -188,6 +188,31 @@
 	})
 }
 
+// Cancel has the users of up to so many unfinished jobs cancel them at about the same time.
+func (u *Users) Cancel(most int) {
+	var list []string
+	for _, id := range u.ids {
+		if j := u.w.model.jobs[id]; !j.accepted.IsZero() && j.finished.IsZero() && !j.asked && len(j.done) < j.spec.Tasks {
+			list = append(list, id)
+		}
+	}
+	u.w.Rng.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	for _, id := range list[:min(most, len(list))] {
+		u.w.At(time.Duration(u.w.Rng.IntN(500))*time.Millisecond, func() { u.cancel(id) })
+	}
+}
+
+// Cancelled counts the jobs whose users know that they are cancelled.
+func (u *Users) Cancelled() int {
+	n := 0
+	for _, id := range u.ids {
+		if !u.w.model.jobs[id].cancelled.IsZero() {
+			n++
+		}
+	}
+	return n
+}
+
 // Invent asks about a job that nobody has submitted.
 func (u *Users) Invent() {
 	id := fmt.Sprintf("job-9%05d", u.w.Rng.IntN(100000))
