--- a/internal/controller/leader/explore_test.go
+++ b/internal/controller/leader/explore_test.go
@@ -49,6 +49,7 @@
 	late    []func() // what was held, in the order in which it was sent
 	lateOf  []string
 	broken  string
+	reach   time.Duration
 }
 
 type waiting struct {
@@ -86,7 +87,7 @@
 	w.life[i]++
 	w.box[i] = outbox.Box{}
 	w.who[i] = New(Options{Name: fmt.Sprint(i), Peers: peers, Lease: 8 * exploreStep, Promise: 8 * exploreStep, Slack: 5 * time.Millisecond,
-		Report: time.Second}, w.now, rand.New(rand.NewPCG(1, uint64(i))), slog.New(slog.DiscardHandler))
+		Report: time.Second, Reach: w.reach}, w.now, rand.New(rand.NewPCG(1, uint64(i))), slog.New(slog.DiscardHandler))
 	if w.mutant == "a new process is not bound" {
 		w.who[i].booted = w.now.Add(-time.Hour)
 	}
@@ -273,6 +274,9 @@
 	if w.mutant == "promises though it leads or campaigns" && e.mode != following {
 		return outbox.Result{Status: 200, Body: w.body(HelloAnswer{Promised: true})}
 	}
+	if w.mutant == "a late word counts from its arrival" && h.Read && h.Token >= e.promisedToken && h.Echo != 0 {
+		e.horizon.Read(w.now.Add(-h.Age))
+	}
 	until := e.promisedUntil
 	a := e.HandleHello(w.now, h)
 	if w.mutant == "a promise does not bind" {
--- a/internal/controller/takeover/takeover_test.go
+++ b/internal/controller/takeover/takeover_test.go
@@ -7,6 +7,8 @@
 	"testing"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
+
 	"gullrudder/internal/config"
 	"gullrudder/internal/controller/book"
 	"gullrudder/internal/controller/fleet"
@@ -20,6 +22,7 @@
 	"gullrudder/internal/controller/reports"
 	"gullrudder/internal/controller/reports/blame"
 	"gullrudder/internal/controller/settings"
+	"gullrudder/internal/controller/timeline"
 	"gullrudder/internal/controller/workers"
 	"gullrudder/internal/controller/workers/reach"
 	"gullrudder/internal/controller/zones"
@@ -36,30 +39,39 @@
 	*Takeover
 	out     *inbox.Answers
 	hearing *hearing.Hearing
+	horizon *horizon.Horizon
 }
 
 func newTakeover(now time.Time, token uint64) *taking {
 	log := slog.New(slog.DiscardHandler)
 	opt := config.DefaultOptions()
-	cfg := &config.Platform{Name: "n", ReportEvery: 4 * time.Second, WorkerLease: 20 * time.Second, CPUShare: 0.2, Connections: 1000}
+	cfg := &config.Platform{Name: "n", ReportEvery: 4 * time.Second, WorkerLease: 20 * time.Second, CancelWithin: 45 * time.Second, CPUShare: 0.2, Connections: 1000}
 	k := &taking{out: &inbox.Answers{Log: log}, hearing: hearing.New(4 * time.Second)}
 	k.hearing.Begin(now)
+	k.horizon = horizon.New(horizon.Reach(cfg.CancelWithin, workers.LeaseEnd(cfg.WorkerLease)), rand.New(rand.NewPCG(1, 1)))
 	links := reach.New(token, cfg.WorkerLease, log)
 	box := &outbox.Box{}
 	led := ledger.New(ledger.Options{ValueBytes: 8192, TxnOps: 12, WriteRate: 15}, token, log)
 	f, planner, cloud := workers.NewFleet(workers.LeaseEnd(cfg.WorkerLease), log), plan.New(opt, cfg), fleet.New(token, 2, time.Second, log)
 	cloud.Types = map[string]*fleet.Type{"small": {Name: "small", CPUs: 4, Mem: 8, Zones: []string{"a"}, Price: 1, SpotPrice: 0.3, BootS: 40}}
-	b := book.New(book.World{Platform: cfg, Options: &opt, Ledger: led, Fleet: f, Log: log})
+	times := timeline.New(timeline.NewMetrics(prometheus.NewRegistry()), log)
+	b := book.New(book.World{Platform: cfg, Options: &opt, Ledger: led, Fleet: f, Times: times, Log: log})
 	placer := place.NewPlacer(place.World{Platform: cfg, Token: token, Jobs: b.Jobs, Fleet: f, Planner: planner,
 		Room: func(time.Time) plan.Room { return plan.Room{} }, Box: box, Log: log})
 	clerk := reports.NewClerk(reports.World{Platform: cfg, Token: token, Ledger: led, Book: b, Fleet: f, Cloud: cloud, Planner: planner,
-		Placer: placer, Pace: pace.New(cfg.ReportEvery), Blame: blame.New(), Reach: links, Answers: k.out, Log: log})
+		Placer: placer, Times: times, Pace: pace.New(cfg.ReportEvery), Blame: blame.New(), Reach: links, Answers: k.out, Log: log})
 	k.Takeover = New(World{Platform: cfg, Token: token, Since: now, Ledger: led, Book: b, Settings: settings.New(opt, led, k.out, log), Fleet: f,
-		Cloud: cloud, Clerk: clerk, Placer: placer, Floor: planner.Floor(), Zones: zones.New(cfg.ReportEvery, now, log), Reach: links, Hearing: k.hearing, Horizon: horizon.New(0, rand.New(rand.NewPCG(1, 1))), Box: box, Log: log})
+		Cloud: cloud, Clerk: clerk, Placer: placer, Floor: planner.Floor(), Zones: zones.New(cfg.ReportEvery, now, log), Reach: links, Hearing: k.hearing, Horizon: k.horizon, Box: box, Log: log})
 	k.built, k.placing, k.first = true, true, true
 	return k
 }
 
+func (k *taking) reply(now time.Time, report []byte) []inbox.Reply {
+	k.clerk.Report(now, &inbox.Request{Method: "POST", Target: "/v1/report", Body: report}, true)
+	k.clerk.Answer(now, k.placing)
+	return k.out.Take()
+}
+
 // send brings a report and gives back what the machine is told.
 func (k *taking) send(t *testing.T, now time.Time, r workers.Report) workers.Answer {
 	t.Helper()
@@ -67,9 +79,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	k.clerk.Report(now, &inbox.Request{Method: "POST", Target: "/v1/report", Body: raw}, true)
-	k.clerk.Answer(now, k.placing)
-	replies := k.out.Take()
+	replies := k.reply(now, raw)
 	if len(replies) != 1 || replies[0].Status != 200 {
 		t.Fatalf("%+v", replies)
 	}
@@ -282,3 +292,79 @@
 		}
 	}
 }
+
+// cancelled is a takeover that knows a job with one task, cancelled a second ago.
+func cancelled(t *testing.T, now time.Time) (k *taking, report workers.Report) {
+	k = newTakeover(now, 9)
+	if !k.book.ReadHistory() {
+		t.Fatal("no history")
+	}
+	j := jobs.NewJob(jobs.Spec{ID: "job-1", Tasks: 1, CPUs: 1, Mem: 1}, now)
+	k.book.Jobs["job-1"] = j
+	k.book.Cancelled(now.Add(-time.Second), j)
+	k.fleet.Machine("vm-1").Rostered = true
+	return k, workers.Report{Machine: "vm-1", Addr: "vm-1", Type: "small", Zone: "a", Session: 1, Seq: 4, Token: 8,
+		Tasks: []workers.TaskReport{{Task: "job-1/0", Attempt: 5, State: workers.StateRunning}}}
+}
+
+func kills(a workers.Answer) int {
+	n := 0
+	for _, c := range a.Commands {
+		if c.Op == "kill" && c.Task == "job-1/0" && c.Attempt == 5 && *c.Grace == 0 {
+			n++
+		}
+	}
+	return n
+}
+
+// A report that is answered and not believed, since its worker has not seen our token yet, is answered with the end of
+// what is cancelled: a 200 without would keep it for another lease.
+func TestUnbelievedReportEndsWhatIsCancelled(t *testing.T) {
+	now := time.Unix(10_000, 0)
+	k, report := cancelled(t, now)
+	if a := k.send(t, now, report); kills(a) != 1 {
+		t.Errorf("told %v", a.Commands)
+	}
+}
+
+// A machine on which a cancelled task goes on though it was told twice to end it gets no lease that would keep it for
+// longer than its user was told.
+func TestMachineThatDisobeysGetsNoLease(t *testing.T) {
+	now := time.Unix(10_000, 0)
+	k, report := cancelled(t, now)
+	reach := horizon.Reach(45*time.Second, workers.LeaseEnd(20*time.Second))
+	report.Token = 9
+	for _, at := range []time.Duration{0, 5 * time.Second, reach - 3*time.Second} {
+		report.Seq++
+		if a := k.send(t, now.Add(at), report); kills(a) != 1 {
+			t.Fatalf("after %v told %v", at, a.Commands)
+		}
+	}
+	report.Seq++
+	raw, err := packed.Marshal(report)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if replies := k.reply(now.Add(reach-time.Second), raw); len(replies) != 1 || replies[0].Status != 503 {
+		t.Errorf("%+v", replies)
+	}
+}
+
+// Before the ledger is read a lease is renewed only if what the leader before has said tells that it ends in time.
+func TestNoLeaseBeforeTheLedgerIsRead(t *testing.T) {
+	now := time.Unix(10_000, 0)
+	k := newTakeover(now, 9)
+	if k.built = false; k.MayRenew(now) {
+		t.Error("renews though nothing is known")
+	}
+	k.horizon.Heard(k.horizon.Stamp(now), 3*time.Second)
+	reach := horizon.Reach(45*time.Second, workers.LeaseEnd(20*time.Second))
+	for after, want := range map[time.Duration]bool{0: true, reach - 3100*time.Millisecond: true, reach - 3*time.Second: false, time.Minute: false} {
+		if got := k.MayRenew(now.Add(after)); got != want {
+			t.Errorf("after %v: %v, want %v", after, got, want)
+		}
+	}
+	if k.built = true; !k.MayRenew(now.Add(time.Minute)) {
+		t.Error("does not renew though the ledger is read")
+	}
+}
