Settings that leave no time for a cancellation; answers that make no sense; copies at followers; metrics of reach

With cancel_s not above lease and margin nobody could keep the rule by leases: now a cancellation is confirmed (to its request, a repeat, a question) only once the job's tasks are gone, told by `gullrudder check` and at the start. A tide that falls, a key or page without its mark, a commit's revision below the token are taken as no answer and told of once; a fallen tide made a follower believe that the key was gone, and refuse the leader its promise. A follower counts a report as a caller only if it is newer than those it has had. Reports by verdict, questions and doubts are counted for Prometheus. Tests: each is red with its line taken out (TestCancelledOnlyOnceItsTasksAreGone, TestAnswersThatMakeNoSense twice, TestACreationCarriedOutLate, TestAClaimCarriedOutLate, TestCopiesAreNoCallers).

--- a/cmd/gullrudder/serve.go
+++ b/cmd/gullrudder/serve.go
@@ -68,6 +68,9 @@
 					}
 				}()
 			}
+			for _, w := range node.Warnings(cfg) {
+				log.Error("settings", "warning", w)
+			}
 			log.Info("serving", "public", cfg.Public, "peers", cfg.PeerBind)
 			node.NewRuntime(n, cfg, log).Serve()
 			return nil
@@ -96,6 +99,9 @@
 			if err != nil {
 				return err
 			}
+			for _, w := range node.Warnings(cfg) {
+				fmt.Fprintln(cmd.OutOrStdout(), "warning:", w)
+			}
 			_, err = fmt.Fprintf(cmd.OutOrStdout(), "ok: %s, %d other controllers, %d teams\n", cfg.Name, len(cfg.Peers), len(cfg.Teams))
 			return err
 		}}
--- a/internal/controller/book/book.go
+++ b/internal/controller/book/book.go
@@ -99,6 +99,9 @@
 	return oldest, true
 }
 
+// Settling reports whether tasks of a cancelled job may still be there.
+func (b *Book) Settling(j *jobs.Job) bool { return b.settling[j] }
+
 // Unwanted reports whether a task is of a job that is cancelled, or about to be: it is to end, whatever else is known.
 func (b *Book) Unwanted(key jobs.Key) bool {
 	if j := b.Jobs[key.Job]; j != nil {
--- a/internal/controller/leader/hearing/hearing.go
+++ b/internal/controller/leader/hearing/hearing.go
@@ -23,6 +23,8 @@
 	warned = 2 * time.Second
 	// remembered is for how long a caller counts: a worker tries every controller within that.
 	remembered = 10 * time.Second
+	// numbered is for how long a caller's numbers are kept, to tell copies of its reports.
+	numbered = 2 * time.Minute
 	// mostCallers bounds what is kept of callers.
 	mostCallers = 20_000
 	// callersShare is which part of the machines that are expected has to call elsewhere, and fewCallers
@@ -53,7 +55,13 @@
 	asked    []question     // of late
 
 	warnedTo time.Time // as a follower: until when the leader is known to hear nobody
-	came     map[string]time.Time
+	came     map[string]caller
+}
+
+// caller is a worker that came to this controller though it does not lead.
+type caller struct {
+	at           time.Time
+	session, seq uint64
 }
 
 // question is what became of one that was put to a machine directly.
@@ -65,7 +73,7 @@
 
 // New makes the hearing of a process. every is how often a worker reports.
 func New(every time.Duration) *Hearing {
-	return &Hearing{every: every, callers: map[string]int{}, came: map[string]time.Time{}}
+	return &Hearing{every: every, callers: map[string]int{}, came: map[string]caller{}}
 }
 
 // Begin is a new leadership: nobody can have reported to it yet.
@@ -199,19 +207,26 @@
 // Withheld reports whether workers are not to be sent to the leader: it would not hear them.
 func (h *Hearing) Withheld(now time.Time) bool { return now.Before(h.warnedTo) }
 
-// Called is a worker's report to a controller that does not lead.
-func (h *Hearing) Called(now time.Time, machine string) {
-	if len(h.came) < mostCallers {
-		h.came[machine] = now
+// Called is a worker's report to a controller that does not lead. One that is not newer than those that came before
+// is a copy: its machine may be no more.
+func (h *Hearing) Called(now time.Time, machine string, session, seq uint64) {
+	c, known := h.came[machine]
+	if known && (session < c.session || session == c.session && seq <= c.seq) || !known && len(h.came) >= mostCallers {
+		return
 	}
+	h.came[machine] = caller{now, session, seq}
 }
 
 // Callers is how many workers have called here of late.
 func (h *Hearing) Callers(now time.Time) int {
-	for id, at := range h.came {
-		if now.Sub(at) > remembered {
+	n := 0
+	for id, c := range h.came {
+		switch since := now.Sub(c.at); {
+		case since > numbered:
 			delete(h.came, id)
+		case since <= remembered:
+			n++
 		}
 	}
-	return len(h.came)
+	return n
 }
--- a/internal/controller/leader/hearing/hearing_test.go
+++ b/internal/controller/leader/hearing/hearing_test.go
@@ -147,8 +147,8 @@
 func TestCallers(t *testing.T) {
 	h, now := New(every), time.Unix(1000, 0)
 	for i := range 7 {
-		h.Called(now, fmt.Sprint("vm-", i))
-		h.Called(now.Add(time.Second), fmt.Sprint("vm-", i))
+		h.Called(now, fmt.Sprint("vm-", i), 1, 1)
+		h.Called(now.Add(time.Second), fmt.Sprint("vm-", i), 1, 2)
 	}
 	if n := h.Callers(now.Add(time.Second)); n != 7 || h.Withheld(now) {
 		t.Errorf("%d of 7 callers", n)
@@ -165,3 +165,22 @@
 		t.Error("a leader that hears again is not named")
 	}
 }
+
+// Copies of reports that a controller has had are no callers, however late they come.
+func TestCopiesAreNoCallers(t *testing.T) {
+	h, now := New(time.Second), time.Unix(1000, 0)
+	for i := range 5 {
+		h.Called(now, fmt.Sprint("vm-", i), 2, 7)
+	}
+	if n := h.Callers(now); n != 5 {
+		t.Fatalf("%d callers", n)
+	}
+	now = now.Add(time.Minute)
+	h.Called(now, "vm-0", 2, 7)
+	h.Called(now, "vm-1", 1, 90)
+	h.Called(now, "vm-2", 2, 8)
+	h.Called(now, "vm-3", 3, 1)
+	if n := h.Callers(now); n != 2 {
+		t.Errorf("%d callers, of which two are copies", n)
+	}
+}
--- a/internal/controller/leader/leader.go
+++ b/internal/controller/leader/leader.go
@@ -84,12 +84,13 @@
 	epoch         int // outdates answers to calls of an earlier mode
 	hearing       *hearing.Hearing
 	horizon       *horizon.Horizon
-	reads         bool      // as leader: the ledger is read, and oldest is known
-	oldest        time.Time // of the confirmed cancellations whose tasks may still be there; the time of asking if there are none
-	met           time.Time // when another controller last spoke to us, or answered
-	spoke         time.Time // when the state service last answered, whatever it said
-	callAt        time.Time // no other controller is called before this, only to hear whether it is there
-	handedTo      string    // who is to lead next, as the last leader said; empty: whoever is first
+	reads         bool            // as leader: the ledger is read, and oldest is known
+	oldest        time.Time       // of the confirmed cancellations whose tasks may still be there; the time of asking if there are none
+	met           time.Time       // when another controller last spoke to us, or answered
+	spoke         time.Time       // when the state service last answered, whatever it said
+	callAt        time.Time       // no other controller is called before this, only to hear whether it is there
+	odd           map[string]bool // kinds of malformed answers that were told of
+	handedTo      string          // who is to lead next, as the last leader said; empty: whoever is first
 }
 
 type promise struct {
@@ -102,7 +103,7 @@
 
 // New makes the election of a process that has just started.
 func New(opt Options, now time.Time, rng *rand.Rand, log *slog.Logger) *Election {
-	return &Election{opt: opt, log: log, rng: rng, booted: now, met: now, spoke: now, cleared: map[string]bool{}, promises: map[string]*promise{},
+	return &Election{opt: opt, log: log, rng: rng, booted: now, met: now, spoke: now, cleared: map[string]bool{}, odd: map[string]bool{}, promises: map[string]*promise{},
 		hearing: hearing.New(opt.Report), horizon: horizon.New(opt.Reach, rng)}
 }
 
@@ -348,19 +349,30 @@
 				Tide  uint64      `msgpack:"tide"`
 			}
 			switch {
-			case r.Status == 200 && packed.Unmarshal(r.Body, &a) == nil:
+			case r.Status == 200 && packed.Unmarshal(r.Body, &a) == nil && a.Mark > 0:
 				e.absent, e.tide = false, a.Mark
 				e.watch(now, box)
 			case r.Status == 404 && packed.Unmarshal(r.Body, &a) == nil:
 				e.vanished(now)
 				e.readAt = now.Add(e.opt.Lease / 6)
 			default:
+				if r.Status == 200 || r.Status == 404 {
+					e.malformed("the leader's key")
+				}
 				e.absent = false
 				e.readAt = now.Add(e.opt.Lease / 8)
 			}
 		}})
 }
 
+// malformed tells once of each kind of answer that makes no sense. It is taken as none.
+func (e *Election) malformed(what string) {
+	if !e.odd[what] {
+		e.odd[what] = true
+		e.log.Error("an answer of the state service makes no sense and is taken as none", "about", what)
+	}
+}
+
 func (e *Election) vanished(now time.Time) {
 	if !e.absent {
 		e.absent = true
@@ -395,7 +407,11 @@
 					Drop  string `msgpack:"drop"`
 				} `msgpack:"log"`
 			}
-			if r.Status != 200 || packed.Unmarshal(r.Body, &a) != nil {
+			if r.Status != 200 || packed.Unmarshal(r.Body, &a) != nil || a.Tide < e.tide {
+				// A tide that falls would show that the key went, which is long over.
+				if r.Status == 200 {
+					e.malformed("changes of the leader's key")
+				}
 				e.readAt = now.Add(e.opt.Lease / 8)
 				return
 			}
@@ -480,7 +496,7 @@
 				Value leaderValue `msgpack:"value"`
 				Mark  uint64      `msgpack:"mark"`
 			}
-			if r.Status == 200 && packed.Unmarshal(r.Body, &a) == nil && a.Value.Name == e.opt.Name && a.Value.Permit == e.permit {
+			if r.Status == 200 && packed.Unmarshal(r.Body, &a) == nil && a.Mark > 0 && a.Value.Name == e.opt.Name && a.Value.Permit == e.permit {
 				e.won(now, box, a.Mark, leased)
 				return
 			}
--- a/internal/controller/leader/leader_test.go
+++ b/internal/controller/leader/leader_test.go
@@ -331,3 +331,54 @@
 		}
 	}
 }
+
+// Answers of the state service that make no sense are taken as none: a tide that falls does not tell that the key is
+// gone, and a key without its mark is nobody's token.
+func TestAnswersThatMakeNoSense(t *testing.T) {
+	f := fresh(t)
+	calls := f.tick(0)
+	f.answer(calls, "/keys/", 200, map[string]any{"value": leaderValue{"b", 3}, "mark": 40})
+	watch := f.box.Take()
+	gone := map[string]any{"tide": 7, "log": []any{map[string]any{"drop": Key, "mark": 7}}}
+	if f.answer(watch, "/watch", 200, gone) != 1 || f.e.absent {
+		t.Error("believes that the key is gone by a tide that has fallen")
+	}
+	if !f.e.HandleHello(f.now, Hello{Name: "b", Token: 40}).Promised {
+		t.Error("does not carry the leader on")
+	}
+	f.answer(f.tick(lease), "/keys/", 200, map[string]any{"value": leaderValue{"b", 3}})
+	if f.e.tide != 40 {
+		t.Errorf("watches from %d", f.e.tide)
+	}
+
+	g := fresh(t)
+	calls = g.tick(0)
+	g.answer(calls, "/peer/inquiry", 200, InquiryAnswer{})
+	g.answer(calls, "/keys/", 404, map[string]int{"tide": 5})
+	g.answer(g.tick(100*time.Millisecond), "/leases", 200, map[string]int{"permit": 3})
+	g.answer(g.box.Take(), "/commit", 0, nil)
+	g.answer(g.box.Take(), "/keys/", 200, map[string]any{"value": leaderValue{"a", 3}})
+	if g.e.Leading() {
+		t.Error("leads without a token")
+	}
+}
+
+// A claim that nobody answered may be carried out at any later time: its lease is ended, so that it is refused then, and
+// what the key says then is not taken for a leadership.
+func TestAClaimCarriedOutLate(t *testing.T) {
+	f := fresh(t)
+	calls := f.tick(0)
+	f.answer(calls, "/peer/inquiry", 200, InquiryAnswer{})
+	f.answer(calls, "/keys/", 404, map[string]int{"tide": 5})
+	f.answer(f.tick(100*time.Millisecond), "/leases", 200, map[string]int{"permit": 3})
+	f.answer(f.box.Take(), "/commit", 0, nil)
+	f.answer(f.box.Take(), "/keys/", 404, map[string]int{"tide": 5})
+	if f.answer(f.box.Take(), "/leases/3", 200, nil) != 1 {
+		t.Error("the lease of the claim is not ended")
+	}
+	// It was carried out before the lease could be ended: the key has our name.
+	f.answer(f.tick(lease), "/keys/", 200, map[string]any{"value": leaderValue{"a", 3}, "mark": 9})
+	if f.e.Leading() || f.e.Entitled(f.now) {
+		t.Error("leads by a claim that it has given up")
+	}
+}
--- a/internal/controller/ledger/history.go
+++ b/internal/controller/ledger/history.go
@@ -71,7 +71,10 @@
 			}
 			if r.Status == 200 {
 				if err := packed.Unmarshal(r.Body, &a); err != nil {
-					l.log.Error("a list of the state service cannot be read", "prefix", prefix, "error", err)
+					if !l.odd {
+						l.odd = true
+						l.log.Error("a list of the state service cannot be read, and is asked for again", "prefix", prefix, "error", err)
+					}
 					r.Status = 0
 				}
 			}
--- a/internal/controller/ledger/ledger.go
+++ b/internal/controller/ledger/ledger.go
@@ -86,6 +86,7 @@
 	head     *page             // names the runs of the history
 	index    map[string]string // parts of its index, until they are taken
 	loading  int               // lists that are not read to their end
+	odd      bool              // an entry that cannot be read was told of
 }
 
 // New makes the ledger of a new leadership. Load has to come first.
@@ -128,7 +129,10 @@
 		for _, r := range rows {
 			if err := install(r); err != nil {
 				// Without it nobody could tell what there is: nothing is answered.
-				l.log.Error("the ledger cannot be read", "key", r.Path, "error", err)
+				if !l.odd {
+					l.odd = true
+					l.log.Error("the ledger cannot be read, and is read again until it can", "key", r.Path, "error", err)
+				}
 				l.load(box, prefix, from, time.Second, install)
 				return
 			}
@@ -144,6 +148,9 @@
 }
 
 func (l *Ledger) installPage(r row) error {
+	if r.Mark == 0 {
+		return fmt.Errorf("key %s comes without its mark", r.Path)
+	}
 	if r.Path == formatKey {
 		return checkFormat(r.Value)
 	}
@@ -391,7 +398,7 @@
 				Tide uint64 `msgpack:"tide"`
 			}
 			switch {
-			case r.Status == 200 && packed.Unmarshal(r.Body, &a) == nil && a.Tide > 0:
+			case r.Status == 200 && packed.Unmarshal(r.Body, &a) == nil && a.Tide > l.token:
 				l.committed(now, a.Tide)
 			case r.Unknown() || r.Status == 200:
 				l.doubt(now)
@@ -486,7 +493,7 @@
 				Mark  uint64    `msgpack:"mark"`
 			}
 			switch {
-			case r.Status == 200 && packed.Unmarshal(r.Body, &a) == nil:
+			case r.Status == 200 && packed.Unmarshal(r.Body, &a) == nil && a.Mark > 0:
 				if a.Value.Seq == t.seq {
 					l.committed(now, a.Mark)
 					return
--- a/internal/controller/ledger/ledger_test.go
+++ b/internal/controller/ledger/ledger_test.go
@@ -221,3 +221,67 @@
 		t.Errorf("told %v at the end", told)
 	}
 }
+
+// A tide that falls and a mark that is missing are no answers: the commit is read back, and the page read again, rather than guarded
+// by what cannot be.
+func TestAnswersThatMakeNoSense(t *testing.T) {
+	f := loaded(t)
+	done := false
+	f.set("job-1", 1, func(_ time.Time, ok bool) { done = ok })
+	f.flush().Done(f.now, f.result(200, map[string]any{"tide": 3}))
+	if done {
+		t.Error("durable by a tide below the leader's token")
+	}
+	back := f.one()
+	if back.Method != "GET" {
+		t.Fatalf("%s %s instead of a look", back.Method, back.Path)
+	}
+	back.Done(f.now, f.result(200, map[string]any{"value": pageValue{Seq: 1}}))
+	if done {
+		t.Error("durable by a page without its mark")
+	}
+	f.one().Done(f.now, f.result(200, map[string]any{"value": pageValue{Seq: 1}, "mark": 12}))
+	if !done || f.l.pages[Prefix+"000000"].mark != 12 {
+		t.Errorf("done %v, mark %d", done, f.l.pages[Prefix+"000000"].mark)
+	}
+	raw, err := packed.Marshal(pageValue{Seq: 1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if f.l.installPage(row{Path: Prefix + "000001", Value: raw}) == nil {
+		t.Error("a page without its mark is taken")
+	}
+}
+
+// A write that creates a page is carried out late, after the page was written, and again after newer ones: it is refused by its
+// guards each time, since pages are never dropped and a mark never is 0 again.
+func TestACreationCarriedOutLate(t *testing.T) {
+	f := loaded(t)
+	f.set("job-1", 1, nil)
+	late := f.parse(f.flush())
+	marks := map[string]uint64{"leader": 7}
+	executes := func(c commit) bool {
+		for _, g := range c.Guards {
+			if marks[g.Path] != g.Mark {
+				return false
+			}
+		}
+		return true
+	}
+	if !executes(late) {
+		t.Fatal("refused at once")
+	}
+	f.l.again(f.now, 0) // it was not answered, and read back as not carried out
+	for round := uint64(20); round < 24; round++ {
+		f.l.Drop(f.now, "job-1")
+		f.set("job-1", int(round), nil)
+		c := f.flush()
+		for _, a := range f.parse(c).Apply {
+			marks[a.Write] = round
+		}
+		c.Done(f.now, f.result(200, map[string]any{"tide": round}))
+		if executes(late) {
+			t.Fatalf("carried out after revision %d", round)
+		}
+	}
+}
--- a/internal/controller/node/node.go
+++ b/internal/controller/node/node.go
@@ -64,6 +64,7 @@
 	peers    map[string]string
 	registry *prometheus.Registry
 	metrics  *timeline.Metrics
+	links    *reach.Metrics
 	election *leader.Election
 	met      bool // a leader has been heard of, or this is one
 	lead     *leadership
@@ -102,6 +103,7 @@
 func New(cfg *config.Platform, opt config.Options, now time.Time, rng *rand.Rand, log *slog.Logger) *Node {
 	n := &Node{cfg: cfg, opt: opt, log: log, out: inbox.Answers{Log: log}, teams: cfg.TeamsByName(), peers: map[string]string{}, registry: prometheus.NewRegistry(), watch: newLatencies()}
 	n.metrics = timeline.NewMetrics(n.registry)
+	n.links = reach.NewMetrics(n.registry)
 	var peers []leader.Peer
 	for _, p := range cfg.Peers {
 		peers = append(peers, leader.Peer{Name: p.Name, Addr: p.Addr})
@@ -206,8 +208,8 @@
 	hearing := n.election.Hearing()
 	if !n.acting {
 		// That the worker came here is what the leader has to know.
-		if id, ok := workers.NameIn(r.Body); ok {
-			hearing.Called(now, id)
+		if c, ok := workers.CallerIn(r.Body); ok {
+			hearing.Called(now, c.Machine, c.Session, c.Seq)
 		}
 		to := n.election.Leader(now)
 		if hearing.Withheld(now) {
@@ -349,7 +351,7 @@
 	l.times = timeline.New(n.metrics, n.log)
 	l.zones = zones.New(n.cfg.ReportEvery, now, n.log)
 	slow := pace.New(n.cfg.ReportEvery)
-	links := reach.New(token, n.cfg.WorkerLease, n.log)
+	links := reach.New(token, n.cfg.WorkerLease, n.links, n.log)
 	blamed := blame.New()
 	l.book = book.New(book.World{Platform: n.cfg, Options: opt, Ledger: l.ledger, Fleet: l.fleet, Times: l.times, Log: n.log})
 	l.placer = place.NewPlacer(place.World{Platform: n.cfg, Token: token, Jobs: l.book.Jobs, Fleet: l.fleet, Planner: l.planner,
--- a/internal/controller/requests/desk.go
+++ b/internal/controller/requests/desk.go
@@ -12,6 +12,7 @@
 	"gullrudder/internal/controller/book"
 	"gullrudder/internal/controller/fleet"
 	"gullrudder/internal/controller/jobs"
+	"gullrudder/internal/controller/leader/horizon"
 	"gullrudder/internal/controller/ledger"
 	"gullrudder/internal/controller/place"
 	"gullrudder/internal/controller/plan"
@@ -47,6 +48,7 @@
 	zoneBook *zones.Book
 	gate     *standing.Gate // bounds the submissions that are not durable yet
 	acting   func() bool    // the leadership is entitled to act
+	late     bool           // a lease that was just renewed may outlast the time that users are told for a cancellation
 }
 
 // World is what a desk sees of its neighbours.
@@ -74,6 +76,7 @@
 func NewDesk(w World) *Desk {
 	d := &Desk{cfg: w.Platform, opt: w.Options, teams: w.Platform.TeamsByName(), log: w.Log, out: w.Answers, box: w.Box, ledger: w.Ledger,
 		book: w.Book, fleet: w.Fleet, cloud: w.Cloud, planner: w.Planner, placer: w.Placer, rental: w.Rental, take: w.Takeover, times: w.Times, blame: w.Blame, zoneBook: w.Zones, acting: w.Acting}
+	d.late = horizon.Reach(d.cfg.CancelWithin, d.fleet.Lease()) <= 0
 	// What two seconds' changes hold may wait for a commit.
 	rate := d.cfg.StateWrites * float64(max(d.cfg.ValueBytes/jobBytes, 1))
 	d.gate = standing.NewGate(int(2*rate), rate)
@@ -229,9 +232,13 @@
 
 // known answers the repetition of a submission.
 func (d *Desk) known(now time.Time, r *inbox.Request, j *jobs.Job) {
-	if j.State == jobs.Pending {
+	switch {
+	case j.State == jobs.Pending:
 		d.out.Refuse(r, 503, "not saved yet", comeBack)
 		return
+	case d.unconfirmed(j):
+		d.out.Refuse(r, 503, stillThere, comeBack)
+		return
 	}
 	d.out.Reply(r, 200, jobAnswer{ID: j.ID, State: j.Wire(), Label: label(j.Guaranteed)}, 0)
 }
--- a/internal/controller/requests/query.go
+++ b/internal/controller/requests/query.go
@@ -37,9 +37,13 @@
 		d.missing(now, r, id, true, d.query)
 		return
 	}
-	if j.State == jobs.Pending {
+	switch {
+	case j.State == jobs.Pending:
 		d.out.Refuse(r, 503, "not saved yet", comeBack)
 		return
+	case d.unconfirmed(j):
+		d.out.Refuse(r, 503, stillThere, comeBack)
+		return
 	}
 	running := j.RunningTasks()
 	because := ""
@@ -77,6 +81,9 @@
 	case j.State == jobs.Pending:
 		d.out.Refuse(r, 503, "not saved yet", comeBack)
 		return
+	case d.unconfirmed(j):
+		d.out.Refuse(r, 503, stillThere, comeBack)
+		return
 	case j.State == jobs.Cancelled:
 		d.out.Reply(r, 200, jobAnswer{ID: id, State: "cancelled"}, 0)
 		return
@@ -91,6 +98,14 @@
 	d.cancel(now, j, r)
 }
 
+const stillThere = "cancelled, and its tasks are not gone yet"
+
+// unconfirmed reports whether nobody may be told yet that the job is cancelled: with settings by which a lease outlasts the
+// time in which its tasks have to be gone, they have to be gone first.
+func (d *Desk) unconfirmed(j *jobs.Job) bool {
+	return d.late && j.State == jobs.Cancelled && d.book.Settling(j)
+}
+
 // cancel writes the cancellation down; the user is told once it is durable. From now on
 // nothing of the job starts.
 func (d *Desk) cancel(now time.Time, j *jobs.Job, r *inbox.Request) {
@@ -106,10 +121,13 @@
 		if r == nil {
 			return
 		}
-		if ok {
-			d.out.Reply(r, 200, jobAnswer{ID: j.ID, State: "cancelled"}, 0)
-		} else {
+		switch {
+		case !ok:
 			d.out.Refuse(r, 503, "not saved yet", comeBack)
+		case d.unconfirmed(j):
+			d.out.Refuse(r, 503, stillThere, comeBack)
+		default:
+			d.out.Reply(r, 200, jobAnswer{ID: j.ID, State: "cancelled"}, 0)
 		}
 		r = nil
 	})
--- a/internal/controller/takeover/takeover_test.go
+++ b/internal/controller/takeover/takeover_test.go
@@ -49,7 +49,7 @@
 	k := &taking{out: &inbox.Answers{Log: log}, hearing: hearing.New(4 * time.Second)}
 	k.hearing.Begin(now)
 	k.horizon = horizon.New(horizon.Reach(cfg.CancelWithin, workers.LeaseEnd(cfg.WorkerLease)), rand.New(rand.NewPCG(1, 1)))
-	links := reach.New(token, cfg.WorkerLease, log)
+	links := reach.New(token, cfg.WorkerLease, reach.NewMetrics(prometheus.NewRegistry()), log)
 	box := &outbox.Box{}
 	led := ledger.New(ledger.Options{ValueBytes: 8192, TxnOps: 12, WriteRate: 15}, token, log)
 	f, planner, cloud := workers.NewFleet(workers.LeaseEnd(cfg.WorkerLease), log), plan.New(opt, cfg), fleet.New(token, 2, time.Second, log)
--- a/internal/controller/workers/messages.go
+++ b/internal/controller/workers/messages.go
@@ -99,13 +99,17 @@
 		Timeout: time.Second, Done: func(time.Time, outbox.Result) {}})
 }
 
-// NameIn is the name of the machine whose report a body is; false if it is none. The tasks are not read.
-func NameIn(body []byte) (string, bool) {
-	var r struct {
-		Machine string `msgpack:"oarlock"`
-	}
-	if packed.Unmarshal(body, &r) != nil || r.Machine == "" || len(r.Machine) > LongestName {
-		return "", false
+// Caller is whose report a body is, and which.
+type Caller struct {
+	Machine string `msgpack:"oarlock"`
+	Session uint64 `msgpack:"watch"`
+	Seq     uint64 `msgpack:"knot"`
+}
+
+// CallerIn reads whose report a body is; false if it is none. The tasks are not read.
+func CallerIn(body []byte) (c Caller, ok bool) {
+	if packed.Unmarshal(body, &c) != nil || c.Machine == "" || len(c.Machine) > LongestName {
+		return Caller{}, false
 	}
-	return r.Machine, true
+	return c, true
 }
--- /dev/null
+++ b/internal/controller/workers/reach/metrics.go
@@ -0,0 +1,28 @@
+package reach
+
+import "github.com/prometheus/client_golang/prometheus"
+
+// Metrics count what links have shown, over all leaderships of a controller.
+type Metrics struct {
+	reports   *prometheus.CounterVec
+	questions *prometheus.CounterVec
+	doubts    *prometheus.CounterVec
+}
+
+// NewMetrics makes the counters and registers them.
+func NewMetrics(registry *prometheus.Registry) *Metrics {
+	counter := func(name, help, label string) *prometheus.CounterVec {
+		return prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: "gullrudder", Name: name, Help: help}, []string{label})
+	}
+	m := &Metrics{
+		reports:   counter("reports_total", "Reports that came while this controller led, by what they were taken for.", "verdict"),
+		questions: counter("worker_questions_total", "Questions put to workers directly, by whether they were answered.", "outcome"),
+		doubts:    counter("worker_doubts_total", "Machines that were taken for deaf, by the first evidence.", "why"),
+	}
+	registry.MustRegister(m.reports, m.questions, m.doubts)
+	return m
+}
+
+func (m *Metrics) report(v Verdict) {
+	m.reports.WithLabelValues([...]string{"copy", "overtaken", "unproven", "new"}[v]).Inc()
+}
--- a/internal/controller/workers/reach/model_test.go
+++ b/internal/controller/workers/reach/model_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"pgregory.net/rapid"
 
 	"gullrudder/internal/controller/jobs"
@@ -17,7 +18,9 @@
 	lease = 20 * time.Second
 )
 
-func book() *Book { return New(token, lease, slog.New(slog.DiscardHandler)) }
+func book() *Book {
+	return New(token, lease, NewMetrics(prometheus.NewRegistry()), slog.New(slog.DiscardHandler))
+}
 
 func nobody(string) *jobs.Job { return nil }
 
--- a/internal/controller/workers/reach/reach.go
+++ b/internal/controller/workers/reach/reach.go
@@ -77,11 +77,13 @@
 	log   *slog.Logger
 	links map[string]*link
 	want  []*workers.Machine // to be asked as soon as can be
+
+	metrics *Metrics
 }
 
 // New makes the book of a new leadership. lease is how long a worker's lease lasts.
-func New(token uint64, lease time.Duration, log *slog.Logger) *Book {
-	return &Book{token: token, lease: lease, log: log, links: map[string]*link{}}
+func New(token uint64, lease time.Duration, metrics *Metrics, log *slog.Logger) *Book {
+	return &Book{token: token, lease: lease, metrics: metrics, log: log, links: map[string]*link{}}
 }
 
 func (b *Book) of(m *workers.Machine) *link {
@@ -98,6 +100,12 @@
 
 // Report says what a report is. It is told of each before anything else is made of it.
 func (b *Book) Report(now time.Time, m *workers.Machine, r *workers.Report) Verdict {
+	v := b.verdict(now, m, r)
+	b.metrics.report(v)
+	return v
+}
+
+func (b *Book) verdict(now time.Time, m *workers.Machine, r *workers.Report) Verdict {
 	l := b.of(m)
 	if m.Up && (l.reborn && r.Session <= m.Session || m.Newer(r) && r.Token < b.token) {
 		// A worker never forgets a token that it has seen: this one has begun anew. Until its session is a higher
@@ -180,6 +188,7 @@
 func (b *Book) doubts(now time.Time, m *workers.Machine, l *link, d Doubt) {
 	if l.doubt == None || l.doubt == NoProof {
 		l.since = now
+		b.metrics.doubts.WithLabelValues(d.String()).Inc()
 		b.log.Debug("a machine may not hear us", "machine", m.ID, "why", d.String())
 	}
 	l.doubt = d
@@ -233,6 +242,7 @@
 func (b *Book) Answer(now time.Time, m *workers.Machine, q Question, r *workers.Report) (reborn bool) {
 	l := b.of(m)
 	m.Heard, l.overtook = now, now
+	b.metrics.questions.WithLabelValues("answered").Inc()
 	l.unheard = 0
 	if m.Up && (r.Session < q.session || r.Session == q.session && r.Seq <= q.seq) {
 		b.born(now, m, l)
@@ -247,6 +257,7 @@
 // NoAnswer takes in that a machine did not answer a question.
 func (b *Book) NoAnswer(now time.Time, m *workers.Machine) {
 	l := b.of(m)
+	b.metrics.questions.WithLabelValues("not answered").Inc()
 	l.unheard++
 	if l.doubt != NoProof {
 		b.doubts(now, m, l, NoAnswer)
--- a/internal/standin/meetings_test.go
+++ b/internal/standin/meetings_test.go
@@ -76,6 +76,9 @@
 				}
 			}
 			w.Run(1500*time.Millisecond + time.Duration(seed)*100*time.Millisecond)
+			if len(w.Broken) > 0 {
+				t.Fatalf("seed %d: %v", seed, w.Broken)
+			}
 			if w.Leader() == old {
 				t.Errorf("seed %d: still led by the one that is refused", seed)
 			}
@@ -135,6 +138,9 @@
 			old := w.Leader()
 			w.CutFrom(old, FromState|FromControllers, 25*time.Second)
 			w.Run(4 * time.Second)
+			if len(w.Broken) > 0 {
+				t.Fatalf("seed %d: %v", seed, w.Broken)
+			}
 			if l := w.Leader(); l == old || l < 0 {
 				t.Fatalf("seed %d: node-%d leads", seed, l)
 			}
@@ -292,3 +298,28 @@
 		finishes(t, w, seed)
 	}
 }
+
+// Settings by which a lease outlasts what users are told: nothing is called cancelled before its tasks are gone, though no
+// machine hears anything for a while, leaders end, and the state service is away.
+func TestCancelledOnlyOnceItsTasksAreGone(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(3) {
+		opt := options()
+		opt.Cancel = 5 * time.Second
+		w, leader := siteWith(t, seed, opt)
+		w.Cloud.Unhear(1000, false, 7*time.Second)
+		w.Run(300 * time.Millisecond)
+		w.Users.Cancel(3)
+		if seed > 0 {
+			w.At(time.Second, func() { w.Crash(leader, 300*time.Millisecond) })
+		}
+		if seed > 1 {
+			w.OnceAt(keyWritten, func(string) { w.State.Outage(12 * time.Second) })
+		}
+		w.Run(40 * time.Second)
+		if w.Users.Cancelled() == 0 && len(w.Broken) == 0 {
+			t.Errorf("seed %d: nobody is told of a cancellation", seed)
+		}
+		finishes(t, w, seed)
+	}
+}
--- a/internal/standin/troubles_test.go
+++ b/internal/standin/troubles_test.go
@@ -17,7 +17,12 @@
 
 func siteThatReports(t *testing.T, seed uint64, every, lease time.Duration) (w *World, leader int) {
 	opt := options()
-	opt.Loss, opt.Capacity, opt.Teams, opt.ReportEvery, opt.Lease = 0, 12, nil, every, lease
+	opt.ReportEvery, opt.Lease = every, lease
+	return siteWith(t, seed, opt)
+}
+
+func siteWith(t *testing.T, seed uint64, opt Options) (w *World, leader int) {
+	opt.Loss, opt.Capacity, opt.Teams = 0, 12, nil
 	w = New(seed, opt, quiet())
 	for i := range 10 {
 		w.Users.Send(jobs.Spec{ID: "job-" + string(rune('0'+i)), Class: "c", Team: "none", Tasks: 8, CPUs: 1, Mem: 1, Image: "i", Spot: true,
