A commit is told by its leader too; a commit refused by a page's guard alone is not another leader's

Cause 1, found by going through the code for late transactions: the next leader counts commits on from what it has read, so its first has the number of the one that the last leader was waiting for. A leader whose renewal was late (cut from the state service, key gone, not told yet) read that page back, took it for its own commit and would have answered 201 or `cancelled` for what was never written. Pages now name the leader. If the refusal does not name the leader's key, that is looked at; if it is ours still, the pages are read back. Tests: TestAnothersCommitIsNotOurs (red without the name), TestOurOwnLateCommitIsNoOtherLeader.

--- a/internal/controller/ledger/ledger.go
+++ b/internal/controller/ledger/ledger.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"fmt"
 	"log/slog"
+	"slices"
 	"sort"
 	"time"
 
@@ -108,8 +109,11 @@
 // Healthy is false while commits do not get through.
 func (l *Ledger) Healthy() bool { return l.failing.IsZero() }
 
+// pageValue is a page as it is kept. Leader and Seq name the commit that wrote it: a number alone is used again by the next
+// leader, which counts on from what it has read.
 type pageValue struct {
 	Seq     uint64                        `msgpack:"n"`
+	Leader  uint64                        `msgpack:"l,omitempty"`
 	Entries map[string]msgpack.RawMessage `msgpack:"e"`
 }
 
@@ -373,7 +377,7 @@
 	var apply []any
 	for _, p := range pages {
 		guards = append(guards, map[string]any{"path": p.key, "mark": p.mark})
-		v := pageValue{Seq: t.seq, Entries: make(map[string]msgpack.RawMessage, len(p.entries))}
+		v := pageValue{Seq: t.seq, Leader: l.token, Entries: make(map[string]msgpack.RawMessage, len(p.entries))}
 		for name, e := range p.entries {
 			v.Entries[name] = e.raw
 		}
@@ -404,7 +408,15 @@
 				l.doubt(now)
 				l.readBack(now, box, 0, 0)
 			case r.Status == 409:
-				l.refused(len(t.pages))
+				var c struct {
+					Failed []string `msgpack:"failed"`
+				}
+				if packed.Unmarshal(r.Body, &c) != nil || slices.Contains(c.Failed, l.opt.LeaderKey) {
+					l.refused(len(t.pages))
+					return
+				}
+				l.doubt(now)
+				l.conflict(now, box, 0)
 			default:
 				l.log.Info("a commit was not executed", "status", r.Status)
 				l.again(now, r.RetryAfter)
@@ -437,6 +449,26 @@
 	l.lost = true
 }
 
+// conflict finds out whose write has come before a commit that the guard of a page refused: if the leader's key is as it was,
+// our own, an earlier try that was given up and carried out late. Then the pages are read back like after an unknown outcome.
+func (l *Ledger) conflict(now time.Time, box *outbox.Box, after time.Duration) {
+	l.call(box, outbox.Call{Method: "GET", Path: "/keys/" + l.opt.LeaderKey, After: after, Timeout: time.Second,
+		Done: func(now time.Time, r outbox.Result) {
+			var a struct {
+				Mark uint64 `msgpack:"mark"`
+			}
+			switch {
+			case r.Status == 200 && packed.Unmarshal(r.Body, &a) == nil && a.Mark == l.token:
+				l.readBack(now, box, 0, 0)
+			case r.Status == 200 && a.Mark > 0, r.Status == 404:
+				l.refused(len(l.flight.pages))
+			default:
+				l.delay = min(max(2*l.delay, 100*time.Millisecond), time.Second)
+				l.conflict(now, box, l.delay)
+			}
+		}})
+}
+
 // doubt tells the waiters that their change is not certain yet: those of the commit, and those whose changes wait behind
 // it. Until it is read back nothing else is sent, and in an outage users who had come a moment before it waited
 // for its whole length.
@@ -494,7 +526,7 @@
 			}
 			switch {
 			case r.Status == 200 && packed.Unmarshal(r.Body, &a) == nil && a.Mark > 0:
-				if a.Value.Seq == t.seq {
+				if a.Value.Seq == t.seq && a.Value.Leader == l.token {
 					l.committed(now, a.Mark)
 					return
 				}
--- a/internal/controller/ledger/ledger_test.go
+++ b/internal/controller/ledger/ledger_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"log/slog"
+	"slices"
 	"testing"
 	"time"
 
@@ -236,11 +237,11 @@
 	if back.Method != "GET" {
 		t.Fatalf("%s %s instead of a look", back.Method, back.Path)
 	}
-	back.Done(f.now, f.result(200, map[string]any{"value": pageValue{Seq: 1}}))
+	back.Done(f.now, f.result(200, map[string]any{"value": pageValue{Seq: 1, Leader: 7}}))
 	if done {
 		t.Error("durable by a page without its mark")
 	}
-	f.one().Done(f.now, f.result(200, map[string]any{"value": pageValue{Seq: 1}, "mark": 12}))
+	f.one().Done(f.now, f.result(200, map[string]any{"value": pageValue{Seq: 1, Leader: 7}, "mark": 12}))
 	if !done || f.l.pages[Prefix+"000000"].mark != 12 {
 		t.Errorf("done %v, mark %d", done, f.l.pages[Prefix+"000000"].mark)
 	}
@@ -285,3 +286,47 @@
 		}
 	}
 }
+
+// The next leader counts on from what it has read: its first commit has the number of the one that this leader's was when it
+// lost its answer. It is not taken for that, and nobody is told that it is durable.
+func TestAnothersCommitIsNotOurs(t *testing.T) {
+	f := loaded(t)
+	var told []bool
+	f.set("job-1", 1, func(_ time.Time, ok bool) { told = append(told, ok) })
+	f.flush().Done(f.now, outbox.Result{})
+	f.one().Done(f.now, f.result(200, map[string]any{"value": pageValue{Seq: f.l.flight.seq, Leader: 11}, "mark": 12}))
+	if slices.Contains(told, true) {
+		t.Fatal("told that it is durable by another leader's commit")
+	}
+	f.flush().Done(f.now, f.result(409, map[string]any{"failed": []string{"leader"}, "tide": 12}))
+	if !f.l.Lost() || slices.Contains(told, true) {
+		t.Errorf("lost %v, told %v", f.l.Lost(), told)
+	}
+}
+
+// A try that was given up, read back as not carried out, and carried out a moment later makes the next one fail by its guards. The
+// leader's key tells that it was our own: the leadership goes on, and what is kept in the end is what is known.
+func TestOurOwnLateCommitIsNoOtherLeader(t *testing.T) {
+	f := loaded(t)
+	done := false
+	f.set("job-1", 1, func(_ time.Time, ok bool) { done = ok })
+	late := f.flush()
+	late.Done(f.now, outbox.Result{})
+	f.one().Done(f.now, f.result(404, map[string]any{"tide": 7}))
+	f.flush().Done(f.now, f.result(409, map[string]any{"failed": []string{Prefix + "000000"}, "tide": 9}))
+	look := f.one()
+	if look.Path != "/keys/leader" {
+		t.Fatalf("asks %s", look.Path)
+	}
+	look.Done(f.now, f.result(503, nil))
+	f.one().Done(f.now, f.result(200, map[string]any{"value": map[string]any{}, "mark": 7}))
+	f.one().Done(f.now, f.result(200, map[string]any{"value": f.parse(late).Apply[0].Value, "mark": 9}))
+	c := f.flush()
+	if g := f.parse(c).Guards; f.l.Lost() || g[1].Mark != 9 {
+		t.Fatalf("lost %v, guards %v", f.l.Lost(), g)
+	}
+	c.Done(f.now, f.result(200, map[string]any{"tide": 10}))
+	if !done {
+		t.Error("never durable")
+	}
+}
