An answer of an earlier leader that was held up is not given to a user

Cause, found by going through the code: a follower hands users' questions on to the leader and passes on what comes within 1.8 s (4 s). Change: if the follower has followed another leader meanwhile, or leads, it answers 503 with Retry-After. TestAnswersOfAnEarlierLeaderAreNotGiven is red without.

--- a/internal/controller/leader/leader.go
+++ b/internal/controller/leader/leader.go
@@ -168,6 +168,9 @@
 // Token is the token of the present leadership.
 func (e *Election) Token() uint64 { return e.token }
 
+// Followed is the token of the newest leadership that this controller has followed.
+func (e *Election) Followed() uint64 { return e.promisedToken }
+
 // Leader names the controller that leads, as far as is known: empty if not freshly heard of.
 func (e *Election) Leader(now time.Time) string {
 	if e.Entitled(now) {
--- a/internal/controller/node/users.go
+++ b/internal/controller/node/users.go
@@ -30,8 +30,14 @@
 	if r.Method == "POST" {
 		timeout = 4 * time.Second
 	}
+	led := n.election.Followed()
 	n.box.Add(outbox.Call{Service: outbox.Peer, Addr: addr, Method: r.Method, Path: r.Target, Body: raw(r.Body), Timeout: timeout,
 		Done: func(now time.Time, res outbox.Result) {
+			if n.acting || n.election.Followed() != led {
+				// It was held up, and another leads since, who may have told the user something newer.
+				n.out.Refuse(r, 503, "another controller leads since", comeBack)
+				return
+			}
 			if res.Unknown() {
 				n.out.Refuse(r, 503, "the leader does not answer", comeBack)
 				return
