After a last reading: one back-off of the ledger, one draw of machines, one look for the leader

What the change wrote again: the ledger's growing wait stood in three places (again, readBack, the new conflict); Unhear, the new Hold and a test drew machines in the same way; siteWith looked for the leader beside the new World.Leader. Behaviour, random draws and assertions are as before.

--- a/internal/controller/ledger/ledger.go
+++ b/internal/controller/ledger/ledger.go
@@ -463,12 +463,17 @@
 			case r.Status == 200 && a.Mark > 0, r.Status == 404:
 				l.refused(len(l.flight.pages))
 			default:
-				l.delay = min(max(2*l.delay, 100*time.Millisecond), time.Second)
-				l.conflict(now, box, l.delay)
+				l.conflict(now, box, l.backOff())
 			}
 		}})
 }
 
+// backOff is how long to wait after one more call that came to nothing.
+func (l *Ledger) backOff() time.Duration {
+	l.delay = min(max(2*l.delay, 100*time.Millisecond), time.Second)
+	return l.delay
+}
+
 // doubt tells the waiters that their change is not certain yet: those of the commit, and those whose changes wait behind
 // it. Until it is read back nothing else is sent, and in an outage users who had come a moment before it waited
 // for its whole length.
@@ -493,8 +498,7 @@
 	l.doubt(now)
 	t := l.flight
 	l.flight = nil
-	l.delay = min(max(2*l.delay, 100*time.Millisecond), time.Second)
-	l.pauseTo = now.Add(min(max(l.delay, after), 2*time.Second))
+	l.pauseTo = now.Add(min(max(l.backOff(), after), 2*time.Second))
 	for i, p := range t.pages {
 		p.waiters = append(t.waiters[i], p.waiters...)
 		if !t.dirty[i] {
@@ -540,8 +544,7 @@
 			case r.Status == 404:
 				p.mark = 0
 			default:
-				l.delay = min(max(2*l.delay, 100*time.Millisecond), time.Second)
-				l.readBack(now, box, i, l.delay)
+				l.readBack(now, box, i, l.backOff())
 				return
 			}
 			if i+1 < len(t.pages) {
--- a/internal/standin/meetings_test.go
+++ b/internal/standin/meetings_test.go
@@ -339,9 +339,7 @@
 		}
 		placed, looks := 0, 0
 		for range rounds {
-			list := w.Cloud.running()
-			w.Rng.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
-			for _, m := range list[:len(list)/2] {
+			for _, m := range w.Cloud.some(len(w.Cloud.running()) / 2) {
 				m.hangs = w.Now.Add(w.Opt.Lease + 3*time.Second)
 			}
 			if l := w.Leader(); l >= 0 {
--- a/internal/standin/troubles.go
+++ b/internal/standin/troubles.go
@@ -80,12 +80,17 @@
 	w.trouble(span)
 }
 
+// some draws up to so many of the machines whose workers are there.
+func (c *Cloud) some(count int) []*machine {
+	list := c.running()
+	c.w.Rng.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	return list[:min(count, len(list))]
+}
+
 // Unhear lets up to so many machines hear nobody: their reports arrive, answers and commands do not reach
 // them. leaderOnly: only what the leader sends is lost.
 func (c *Cloud) Unhear(count int, leaderOnly bool, span time.Duration) {
-	list := c.running()
-	c.w.Rng.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
-	for _, m := range list[:min(count, len(list))] {
+	for _, m := range c.some(count) {
 		for i := range c.w.Opt.Nodes {
 			if name := nodeName(i); !leaderOnly || name == c.w.State.leader() {
 				c.w.CutOneWay(name, m.id, span)
@@ -103,9 +108,7 @@
 
 // Hold holds up what some machines are sent, or all that goes on there, for some seconds each, one after the other.
 func (c *Cloud) Hold(count int, span time.Duration) {
-	list := c.running()
-	c.w.Rng.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
-	for k, m := range list[:min(count, len(list))] {
+	for k, m := range c.some(count) {
 		c.w.At(time.Duration(k)*200*time.Millisecond, func() {
 			if k%2 == 0 {
 				m.hangs = c.w.Now.Add(span)
--- a/internal/standin/troubles_test.go
+++ b/internal/standin/troubles_test.go
@@ -32,13 +32,10 @@
 	if n := w.onMachines(); n < 60 {
 		t.Fatalf("seed %d: only %d tasks run", seed, n)
 	}
-	for i := range w.nodes {
-		if nodeName(i) == w.State.leader() {
-			return w, i
-		}
+	if leader = w.Leader(); leader < 0 {
+		t.Fatal("nobody leads")
 	}
-	t.Fatal("nobody leads")
-	return nil, 0
+	return w, leader
 }
 
 // finishes plays on until all that was accepted has to be done, with every rule kept.
