--- a/cmd/gullbench/users.go
+++ b/cmd/gullbench/users.go
@@ -12,7 +12,7 @@
 	"gullrudder/internal/wire/packed"
 )
 
-// users submit jobs with many short tasks, withdraw some, and ask about all of them for ever.
+// users submit jobs with many short tasks, cancel some, and ask about all of them for ever.
 type users struct {
 	f   *field
 	rng *rand.Rand
@@ -111,7 +111,7 @@
 	u.do(c, j, "POST", "/work", raw)
 }
 
-// ask polls a job, submits one again, or withdraws one.
+// ask polls a job, submits one again, or cancels one.
 func (u *users) ask(c *httpwire.Client) {
 	if j := u.pick(func(j *userJob) bool { return !j.accepted }); j != nil {
 		u.send(c, j)
--- a/cmd/gullrudder/client.go
+++ b/cmd/gullrudder/client.go
@@ -165,10 +165,17 @@
 	})
 }
 
-func withdrawCommand() *cobra.Command {
-	return userCommand("withdraw JOB", "Cancel a job", "", cobra.ExactArgs(1), func(a *api, args []string) error {
+// cancelCommand cancels a job. Scripts of before call it by its old name, which is not listed.
+func cancelCommand(old bool) *cobra.Command {
+	name := "cancel JOB"
+	if old {
+		name = "withdraw JOB"
+	}
+	cmd := userCommand(name, "Cancel a job", "", cobra.ExactArgs(1), func(a *api, args []string) error {
 		return a.job("POST", "/work/"+segment(args[0])+"/withdraw", nil)
 	})
+	cmd.Hidden = old
+	return cmd
 }
 
 // segment keeps an id that is none from becoming another path.
--- a/cmd/gullrudder/console.go
+++ b/cmd/gullrudder/console.go
@@ -44,7 +44,7 @@
 	return snap
 }
 
-func (s site) Withdraw(job string) error {
+func (s site) Cancel(job string) error {
 	return s.send("POST", "/work/"+segment(job)+"/withdraw", nil, &struct{}{})
 }
 
--- a/cmd/gullrudder/serve.go
+++ b/cmd/gullrudder/serve.go
@@ -22,7 +22,7 @@
 func root() *cobra.Command {
 	cmd := &cobra.Command{Use: "gullrudder", Short: "A cluster scheduler for deadline jobs",
 		SilenceUsage: true, SilenceErrors: true}
-	cmd.AddCommand(serveCommand(), checkCommand(), submitCommand(), showCommand(), withdrawCommand(), explainCommand(), queueCommand(), accountCommand(), servedCommand(), zonesCommand(), settingsCommand(), statusCommand(), stateCommand(), upCommand(), downCommand(), drainCommand(), undrainCommand(), doctorCommand(), installCommand(), topCommand(), consoleCommand(), failuresCommand(), workerCommand(), poolCommand(), versionCommand())
+	cmd.AddCommand(serveCommand(), checkCommand(), submitCommand(), showCommand(), cancelCommand(false), cancelCommand(true), explainCommand(), queueCommand(), accountCommand(), servedCommand(), zonesCommand(), settingsCommand(), statusCommand(), stateCommand(), upCommand(), downCommand(), drainCommand(), undrainCommand(), doctorCommand(), installCommand(), topCommand(), consoleCommand(), failuresCommand(), workerCommand(), poolCommand(), versionCommand())
 	return cmd
 }
 
--- a/internal/console/model.go
+++ b/internal/console/model.go
@@ -10,7 +10,7 @@
 // Site is what a console looks at and acts upon.
 type Site interface {
 	Look() Snapshot
-	Withdraw(job string) error
+	Cancel(job string) error
 	Drain(on bool) error
 }
 
@@ -103,10 +103,10 @@
 		m.row--
 	case "r":
 		return m.look()
-	case "w":
+	case "c", "w":
 		if _, _, ids := m.snap.rows(Jobs); m.screen == Jobs && m.row < len(ids) {
 			id := ids[m.row]
-			m.ask("withdraw "+id, func() error { return m.site.Withdraw(id) })
+			m.ask("cancel "+id, func() error { return m.site.Cancel(id) })
 		}
 	case "d":
 		m.ask("drain the site", func() error { return m.site.Drain(true) })
--- a/internal/console/view.go
+++ b/internal/console/view.go
@@ -78,7 +78,7 @@
 	case Help:
 		lines = []string{"1  jobs          2  workers       3  failures      ?  this page",
 			"j, down: next row          k, up: the row before",
-			"w  withdraw the job of the row (asks first)",
+			"c  cancel the job of the row (asks first)",
 			"d  drain the site: nothing more starts, what runs goes on (asks first)",
 			"u  use the site again",
 			"r  look again now          q  leave; everything goes on without the console", "",
--- a/internal/controller/requests/desk.go
+++ b/internal/controller/requests/desk.go
@@ -1,4 +1,4 @@
-// Package requests serves the users: submissions, questions and withdrawals, why a job waits and
+// Package requests serves the users: submissions, questions and cancellations, why a job waits and
 // what waits before it. Its Desk owns the gate that bounds submissions which are not durable yet.
 // What it answers comes from the book and the order; it changes nothing but the book.
 package requests
@@ -112,7 +112,7 @@
 	case len(parts) == 2:
 		d.query(now, r, parts[1])
 	case parts[2] == "withdraw":
-		d.withdraw(now, r, parts[1])
+		d.cancel(now, r, parts[1])
 	default:
 		d.explain(now, r, parts[1])
 	}
--- a/internal/controller/requests/explain.go
+++ b/internal/controller/requests/explain.go
@@ -233,7 +233,7 @@
 		x.because("its tasks have failed on %d machines and on none of them has one completed: it looks as if it was submitted with a mistake", max(d.blame.Machines(j.ID), 2))
 		x.because("one task is tried at a time; the next in %.0f s", max(j.NotBefore.Sub(now), 0).Seconds())
 		x.change("a task that completes: then all are started again")
-		x.change("its withdrawal, and a submission without the mistake")
+		x.change("its cancellation, and a submission without the mistake")
 		return
 	case j.Waiting() == 0:
 		x.because("all of its tasks run or are done")
--- a/internal/controller/requests/query.go
+++ b/internal/controller/requests/query.go
@@ -68,7 +68,7 @@
 	}
 }
 
-func (d *Desk) withdraw(now time.Time, r *inbox.Request, id string) {
+func (d *Desk) cancel(now time.Time, r *inbox.Request, id string) {
 	if f, ok := d.book.Final(id); ok {
 		d.out.Reply(r, 200, finalAnswer(id, f, false), 0)
 		return
@@ -76,7 +76,7 @@
 	j := d.book.Find(id)
 	switch {
 	case j == nil:
-		d.missing(now, r, id, false, d.withdraw)
+		d.missing(now, r, id, false, d.cancel)
 		return
 	case j.State == jobs.Pending:
 		d.out.Refuse(r, 503, "not saved yet", comeBack)
@@ -90,12 +90,12 @@
 	case j.Finishing || j.Cancelling || !d.ledger.Healthy():
 		// What is on its way into the ledger decides; the user asks again.
 		if !j.Finishing && !j.Cancelling {
-			d.cancel(now, j, nil)
+			d.writeCancellation(now, j, nil)
 		}
 		d.out.Refuse(r, 503, "not saved yet", comeBack)
 		return
 	}
-	d.cancel(now, j, r)
+	d.writeCancellation(now, j, r)
 }
 
 const stillThere = "cancelled, and its tasks are not gone yet"
@@ -106,9 +106,9 @@
 	return d.late && j.State == jobs.Cancelled && d.book.Settling(j)
 }
 
-// cancel writes the cancellation down; the user is told once it is durable. From now on
+// writeCancellation writes the cancellation down; the user is told once it is durable. From now on
 // nothing of the job starts.
-func (d *Desk) cancel(now time.Time, j *jobs.Job, r *inbox.Request) {
+func (d *Desk) writeCancellation(now time.Time, j *jobs.Job, r *inbox.Request) {
 	j.Cancelling = true
 	d.placer.Changed()
 	rec := j.Record()
--- a/internal/controller/standing/model_test.go
+++ b/internal/controller/standing/model_test.go
@@ -52,7 +52,7 @@
 }
 
 // What goes first is what the plain model marks, and nobody gains by asking later: whatever a
-// team withdraws and submits anew, no job of another team that went first is pushed out.
+// team cancels and submits anew, no job of another team that went first is pushed out.
 func TestFirstAgreesWithThePlainModel(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		now := time.Unix(10_000, 0)
@@ -75,7 +75,7 @@
 		if len(live[i].Active) > 0 {
 			return
 		}
-		// Withdrawn, and submitted anew as several that are as large together.
+		// Cancelled, and submitted anew as several that are as large together.
 		anew := append(append([]*jobs.Job(nil), live[:i]...), live[i+1:]...)
 		for k := range live[i].Tasks {
 			s := live[i].Spec
