--- a/review/lab/hunt.go
+++ b/review/lab/hunt.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
@@ -27,6 +28,11 @@
 	case 3:
 		l.state["value_kb"], l.state["write_rps"] = 2.0, 60.0
 	}
+	l.zoneCuts = seed >= 400
+	if seed >= 200 && seed < 400 {
+		l.imageDigits = 180 // larger records
+		l.lowerLimits(length, seed >= 300)
+	}
 	l.cloud = newCloud(l, []machineType{
 		{"trygos", 8, 32, 0.57, 0.18, 2 * time.Second, []string{"nemea-room", "patras-room"}},
 		{"patitiri", 16, 64, 1.2, 0.4, time.Second, []string{"nemea-room", "patras-room"}},
@@ -45,6 +51,40 @@
 	l.finish()
 }
 
+// lowerLimits makes the state service lower its limits. If upgraded, the controllers learn that only by a restart with new settings.
+func (l *lab) lowerLimits(length time.Duration, upgraded bool) {
+	l.state["value_kb"], l.state["write_rps"], l.state["txn_ops"] = 8.0, 30.0, 12
+	l.store.setLimits(&storeLimits{rps: 200, writeRPS: 30, valueKB: 8, txnOps: 12})
+	announce := func() {
+		l.state["next"] = map[string]any{"value_kb": 2.0, "write_rps": 30.0, "txn_ops": 4}
+	}
+	if upgraded {
+		time.AfterFunc(length/3, func() {
+			announce()
+			l.writeSettings()
+			l.note("trouble", "upgrade")
+			for _, n := range l.nodes {
+				l.crash(n, time.Second)
+				time.Sleep(3 * time.Second)
+			}
+		})
+	} else {
+		announce()
+	}
+	time.AfterFunc(length/3+15*time.Second, func() {
+		sizes := map[string]int{}
+		l.store.mu.Lock()
+		for name, k := range l.store.keys {
+			if raw, _ := json.Marshal(k.value); len(raw) > 1024 {
+				sizes[name] = len(raw)
+			}
+		}
+		l.store.mu.Unlock()
+		l.note("trouble", "limits lowered; values above 1 KB: %v", sizes)
+		l.store.setLimits(&storeLimits{rps: 200, writeRPS: 30, valueKB: 2, txnOps: 4})
+	})
+}
+
 // applySettings applies options as an operator does, so that jobs are archived soon after their end.
 func (l *lab) applySettings(text string) {
 	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(500 * time.Millisecond) {
@@ -74,6 +114,7 @@
 		fmt.Println("  ", b)
 	}
 	l.check.mu.Unlock()
+	fmt.Println("refused by limits:", l.store.refusals)
 }
 
 func (l *lab) users(seed uint64, stop time.Time) {
@@ -81,7 +122,8 @@
 	var last []*job
 	for i := 0; time.Now().Before(stop.Add(-45 * time.Second)); i++ {
 		j := &job{
-			id: fmt.Sprintf("job-%06d", 1000+i), crew: []string{"red", "blue"}[rng.IntN(2)], image: fmt.Sprintf("img-%d", rng.IntN(4)),
+			id: fmt.Sprintf("job-%06d", 1000+i), crew: []string{"red", "blue"}[rng.IntN(2)],
+			image:   fmt.Sprintf("img-%0*d", l.imageDigits, rng.IntN(4)),
 			imageGB: 0.1 + rng.Float64()/2, tasks: 1 + rng.IntN(6), cpus: float64(1 + rng.IntN(3)), mem: 1 + 3*rng.Float64(),
 			run: time.Duration(300+rng.IntN(4000)) * time.Millisecond, spot: rng.IntN(2) == 0,
 		}
@@ -181,6 +223,10 @@
 		n = o
 	}
 	d := time.Duration(500+rng.IntN(6000)) * time.Millisecond
+	if l.zoneCuts && rng.IntN(4) == 0 {
+		l.troubleZone(rng, 4*d)
+		return
+	}
 	if machines := l.cloud.all(); len(machines) > 0 && rng.IntN(2) == 0 {
 		l.troubleMachine(rng, machines[rng.IntN(len(machines))], d)
 		return
@@ -216,6 +262,42 @@
 	l.note("trouble", "%s: over", name)
 }
 
+// troubleZone cuts off all machines of a zone, or all machines from one controller.
+func (l *lab) troubleZone(rng *rand.Rand, d time.Duration) {
+	if !l.zoneCut.TryLock() {
+		return
+	}
+	defer l.zoneCut.Unlock()
+	if rng.IntN(3) == 0 {
+		l.during(2*d, "slow state service", func(on bool) {
+			if l.store.setSlow(0); on {
+				l.store.setSlow(400 * time.Millisecond)
+			}
+		})
+		return
+	}
+	zone, target := []string{"nemea-room", "patras-room"}[rng.IntN(2)], rng.IntN(len(l.nodes))
+	if rng.IntN(3) == 0 {
+		l.during(d/2, fmt.Sprintf("workers do not reach controller %d", target), func(on bool) {
+			for _, m := range l.cloud.all() {
+				m.links[target].hold(on, on)
+			}
+		})
+		return
+	}
+	l.during(d, "zone cut "+zone, func(on bool) {
+		for _, m := range l.cloud.all() {
+			if m.zone != zone {
+				continue
+			}
+			for _, k := range m.links {
+				k.hold(on, on)
+			}
+			m.inbound.hold(on, on)
+		}
+	})
+}
+
 func (l *lab) troubleMachine(rng *rand.Rand, m *machine, d time.Duration) {
 	switch rng.IntN(5) {
 	case 0:
--- a/review/lab/lab.go
+++ b/review/lab/lab.go
@@ -49,6 +49,9 @@
 	state                 map[string]any
 	quota                 map[string]any
 	copies                bool // copies of reports arrive late
+	imageDigits           int  // least length of the number in an image's name
+	zoneCuts              bool // zones are cut off, and the state service is slow at times
+	zoneCut               sync.Mutex
 }
 
 func (l *lab) note(kind, format string, args ...any) {
@@ -117,14 +120,28 @@
 		n.toCloud = newLink(cloudAddr)
 		l.nodes = append(l.nodes, n)
 	}
+	l.writeSettings()
+	for _, n := range l.nodes {
+		log, err := os.Create(filepath.Join(l.dir, n.name+".log"))
+		if err != nil {
+			panic(err)
+		}
+		n.output = log
+	}
+}
+
+func (l *lab) writeSettings() {
 	for i, n := range l.nodes {
 		others := []any{}
 		for _, o := range l.nodes {
 			if o == n {
 				continue
 			}
-			in := newLink(o.peer)
-			o.peerIn[n.name] = in
+			in := o.peerIn[n.name]
+			if in == nil {
+				in = newLink(o.peer)
+				o.peerIn[n.name] = in
+			}
 			others = append(others, map[string]any{"host_name": o.name, "domain": "nemea-room", "addr": in.addr})
 		}
 		settings := map[string]any{
@@ -146,11 +163,6 @@
 		if err := os.WriteFile(n.config, raw, 0o600); err != nil {
 			panic(err)
 		}
-		log, err := os.Create(filepath.Join(l.dir, n.name+".log"))
-		if err != nil {
-			panic(err)
-		}
-		n.output = log
 	}
 }
 
--- a/review/lab/store.go
+++ b/review/lab/store.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"encoding/json"
 	"math/rand/v2"
 	"net/http"
 	"sort"
@@ -37,12 +38,71 @@
 
 	down    bool            // outage: every request gets 503
 	refused map[string]bool // controllers that get 503
-	loseAt  func() (lost bool, lateBy time.Duration)
+	slow    time.Duration   // greatest additional time of an answer
+	limits  *storeLimits    // enforced limits; nil: none
+
+	refusals map[int]int // refused requests by status
+	loseAt   func() (lost bool, lateBy time.Duration)
+}
+
+// storeLimits are enforced limits of the state service.
+type storeLimits struct {
+	rps, writeRPS, valueKB float64
+	txnOps                 int
+
+	requests, writes float64 // left
+	filled           time.Time
+}
+
+func (m *storeLimits) fill() {
+	now := time.Now()
+	passed := now.Sub(m.filled).Seconds()
+	if m.filled.IsZero() {
+		passed = 1
+	}
+	m.filled = now
+	m.requests = min(m.rps, m.requests+passed*m.rps)
+	m.writes = min(m.writeRPS, m.writes+passed*m.writeRPS)
+}
+
+// refuse returns the status of a request that breaks a limit, and 0 otherwise.
+func (m *storeLimits) refuse(apply, guards []any) int {
+	m.fill()
+	if m.requests < 1 {
+		return http.StatusTooManyRequests
+	}
+	m.requests--
+	if len(apply) > m.txnOps || len(guards) > 4*m.txnOps {
+		return http.StatusBadRequest
+	}
+	for _, item := range apply {
+		if raw, err := json.Marshal(item.(map[string]any)["value"]); err != nil || float64(len(raw)) > m.valueKB*1024 {
+			return http.StatusBadRequest
+		}
+	}
+	if float64(len(apply)) > m.writes {
+		return http.StatusTooManyRequests
+	}
+	m.writes -= float64(len(apply))
+	return 0
+}
+
+func (s *store) setSlow(slow time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.slow = slow
+}
+
+func (s *store) setLimits(m *storeLimits) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.limits = m
 }
 
 func newStore() *store {
 	s := &store{
 		keys: map[string]storeKey{}, leases: map[uint64]storeLease{}, changed: make(chan struct{}), refused: map[string]bool{},
+		refusals: map[int]int{},
 	}
 	go func() {
 		for range time.Tick(20 * time.Millisecond) {
@@ -136,7 +196,10 @@
 			s.watch(w, r, from)
 			return
 		}
-		time.Sleep(2 * time.Millisecond)
+		s.mu.Lock()
+		delay := 2*time.Millisecond + time.Duration(rand.Int64N(int64(s.slow)+1))
+		s.mu.Unlock()
+		time.Sleep(delay)
 		if r.URL.Path == "/commit" {
 			if lost, lateBy := s.lose(); lost {
 				time.Sleep(lateBy)
@@ -163,6 +226,14 @@
 
 func (s *store) serve(r *http.Request, body codec.Object) (int, codec.Object) {
 	path := r.URL.Path
+	if s.limits != nil {
+		apply, _ := body["apply"].([]any)
+		guards, _ := body["guards"].([]any)
+		if status := s.limits.refuse(apply, guards); status != 0 {
+			s.refusals[status]++
+			return status, codec.Object{"error": "limit"}
+		}
+	}
 	switch {
 	case path == "/commit":
 		return s.commit(body)
