api: explain that a job avoids machines on which a task of it failed

Change: the explanation counts the avoided machines and names the reason. The simulator can let a given number of attempts of a job fail.

--- a/internal/controller/api/explain_wait.go
+++ b/internal/controller/api/explain_wait.go
@@ -29,6 +29,7 @@
 	w.explainQuota()
 	machines := w.surveyMachines()
 	w.explainCapacity(machines)
+	w.explainAvoided(machines)
 	w.explainReservations(machines)
 	w.explainUnreachable(machines)
 	w.explainStartBound()
@@ -104,6 +105,7 @@
 // machineSurvey counts the machines that a job can use, and those that it cannot use now. Only machines that have sent a heartbeat count.
 type machineSurvey struct {
 	eligible     int // may run tasks of the job
+	avoided      int // meet the constraints of the job, which avoids them because a task of it failed there
 	reserved     int // have available resources for a task, but are reserved for another job
 	zoneFull     int // have available resources for a task, but the job may have no further task in their zone
 	fittingTasks int // tasks that the available resources of the other machines allow
@@ -117,6 +119,9 @@
 		if machine.IsUnreachable {
 			survey.unreachable++
 		}
+		if placement.IsAvoided(w.job, machine) && placement.KindAllowed(w.job, placement.MachineKind(machine)) {
+			survey.avoided++
+		}
 		if !placement.IsEligible(w.job, machine) || machine.DrainReason != worker.NotDraining {
 			continue
 		}
@@ -141,6 +146,8 @@
 func (w *waitExplanation) explainCapacity(machines machineSurvey) {
 	waiting := w.job.WaitingTasks()
 	switch {
+	case machines.eligible == 0 && machines.avoided > 0:
+		w.addRemedy("another machine")
 	case machines.eligible == 0:
 		w.addReason("no machine that is up may run the job%s", describeConstraints(w.job))
 		w.addRemedy("a machine that meets the constraints of the job on type, zone and spot")
@@ -163,6 +170,12 @@
 	}
 }
 
+func (w *waitExplanation) explainAvoided(machines machineSurvey) {
+	if machines.avoided > 0 {
+		w.addReason("%d machines are avoided, since a task of the job failed there", machines.avoided)
+	}
+}
+
 func (w *waitExplanation) explainReservations(machines machineSurvey) {
 	if machines.reserved > 0 {
 		w.addReason("%d machines with available resources are reserved for other jobs", machines.reserved)
--- a/internal/controller/placement/eligibility.go
+++ b/internal/controller/placement/eligibility.go
@@ -55,13 +55,17 @@
 	return cloud.InstanceKind{Type: machine.Type, Zone: machine.Zone, Spot: machine.Spot}
 }
 
+// IsAvoided reports whether the job avoids the machine because a task of it failed there.
+func IsAvoided(job *jobs.Job, machine *worker.Machine) bool {
+	return len(machine.FailedJobs) > 0 && machine.FailedJobs[job.ID]
+}
+
 // IsEligible reports whether tasks of the job may start on the machine if it has enough available resources. A sentinel is
 // not eligible: its available resources would prevent reservations on other machines. Neither is a machine that probably
 // receives no responses from this leader.
 func IsEligible(job *jobs.Job, machine *worker.Machine) bool {
 	return machine.DrainReason == worker.NotDraining && !machine.IsSentinel && !machine.IsUnreachable &&
-		machine.CPUs+machine.MemoryGB > 0 &&
-		(len(machine.FailedJobs) == 0 || !machine.FailedJobs[job.ID]) &&
+		machine.CPUs+machine.MemoryGB > 0 && !IsAvoided(job, machine) &&
 		KindAllowed(job, MachineKind(machine))
 }
 
--- a/internal/simulator/checker.go
+++ b/internal/simulator/checker.go
@@ -33,6 +33,7 @@
 	lastResponseAt  time.Time // time of the last response about it
 	isSubmitted     bool      // it was submitted at least once
 	alwaysFails     bool      // every attempt of its tasks fails
+	failuresLeft    int       // number of further attempts that fail
 	startCount      int
 	startableSince  time.Time  // since when a machine has capacity for it; zero: none has
 	fittingMachines []*machine // machines that have had capacity for it ever since
@@ -61,9 +62,17 @@
 	return time.Second
 }
 
-// taskFails reports whether every attempt of the task fails.
-func (checker *invariantChecker) taskFails(taskID jobs.TaskID) bool {
-	return checker.jobs[taskID.JobID] != nil && checker.jobs[taskID.JobID].alwaysFails
+// attemptFails reports whether an attempt of the task that starts now fails.
+func (checker *invariantChecker) attemptFails(taskID jobs.TaskID) bool {
+	job := checker.jobs[taskID.JobID]
+	if job == nil {
+		return false
+	}
+	if job.failuresLeft > 0 {
+		job.failuresLeft--
+		return true
+	}
+	return job.alwaysFails
 }
 
 // hasCheckpoints reports whether the task saves a checkpoint when it is killed with a sufficient grace period.
--- a/internal/simulator/worker.go
+++ b/internal/simulator/worker.go
@@ -239,7 +239,7 @@
 		task.state = workerapi.StateRunning
 		m.sim.checker.taskStarted(m, task)
 		m.heartbeatSoon()
-		fails, runTime := m.sim.checker.taskFails(key) || m.isFaulty, m.sim.checker.runTime(key)
+		fails, runTime := m.sim.checker.attemptFails(key) || m.isFaulty, m.sim.checker.runTime(key)
 		if fails {
 			runTime /= 3
 		}
