heartbeat: a job avoids a machine on which it failed for 30 s, not for ever

Cause: heartbeat.Handler.avoidMachine ended the avoidance only once the job had failed on three machines. With fewer machines, or with all others full, nothing ended it but a new leader or the return of the machine.

Change: each avoidance ends after 30 s. The simulator's check counts avoided machines as machines that fit: it is stricter than before.

Why it works: the wait has a limit that depends on nothing but the clock, well below 90 s, however many machines there are.

--- a/internal/controller/api/explain_wait.go
+++ b/internal/controller/api/explain_wait.go
@@ -173,6 +173,7 @@
 func (w *waitExplanation) explainAvoided(machines machineSurvey) {
 	if machines.avoided > 0 {
 		w.addReason("%d machines are avoided, since a task of the job failed there", machines.avoided)
+		w.addRemedy("waiting: a machine is avoided for %.0f s after a failure", jobs.MachineAvoidance.Seconds())
 	}
 }
 
--- a/internal/controller/heartbeat/failure.go
+++ b/internal/controller/heartbeat/failure.go
@@ -8,13 +8,8 @@
 	"gullrudder/internal/logkeys"
 )
 
-const (
-	// maxAvoidedMachines bounds the machines that a job avoids after failures. A job that has failed on this many may run on all of
-	// them again, since a small site may have no others.
-	maxAvoidedMachines = 3
-	// maxRetryDelay bounds the delay between two attempts of a failing job that has not completed any task.
-	maxRetryDelay = time.Minute
-)
+// maxRetryDelay bounds the delay between two attempts of a failing job that has not completed any task.
+const maxRetryDelay = time.Minute
 
 // recordFailure records that a task has ended with an error. The job then avoids the machine. The failure tracker decides whether the
 // job is crash-looping or the machine is faulty.
@@ -36,28 +31,6 @@
 	}
 }
 
-// avoidMachine makes the job avoid the machine. A job that avoids maxAvoidedMachines may run on all of them again after a delay.
-func (h *Handler) avoidMachine(now time.Time, machine *worker.Machine, job *jobs.Job) {
-	machine.FailedJobs[job.ID] = true
-	if job.FailedMachines == nil {
-		job.FailedMachines = map[string]bool{}
-	}
-	job.FailedMachines[machine.ID] = true
-	if len(job.FailedMachines) < maxAvoidedMachines {
-		return
-	}
-	job.NotBefore = now.Add(retryDelay)
-	if job.DoneTasks == 0 {
-		job.NotBefore = now.Add(min(time.Duration(job.FailureCount)*retryDelay, maxRetryDelay))
-	}
-	for id := range job.FailedMachines {
-		if other := h.workers.Machines[id]; other != nil {
-			delete(other.FailedJobs, job.ID)
-		}
-	}
-	job.FailedMachines = nil
-}
-
 // throttleCrashLooping limits a crash-looping job to one task at a time, with growing delays. Its other attempts are stopped,
 // since they would use resources until they fail as well. The verdict is stored in the job's record, so that the next leader does not
 // start all tasks again.
--- a/internal/controller/heartbeat/handler.go
+++ b/internal/controller/heartbeat/handler.go
@@ -1,6 +1,6 @@
 // Package heartbeat handles the heartbeats of workers. A Handler reconciles the leader's state with each heartbeat, and responds with
 // the commands to kill, forget and start attempts on the machine. It owns the heartbeats that wait for their response and the records
-// of registered machines in the state service. A Handler is created at each election.
+// of registered machines in the state service, and which machines a job avoids. A Handler is created at each election.
 //
 // Start commands are sent in heartbeat responses only, and the placer chooses them. The Handler reconciles only heartbeats that the
 // reachability tracker classifies as fresh. The rules of package worker alone decide when an attempt has ended.
@@ -67,7 +67,8 @@
 	reachability *reachability.Tracker
 	observers    observers
 
-	pending []pendingHeartbeat
+	pending    []pendingHeartbeat
+	avoidances avoidances
 }
 
 // observers are the components that evaluate ended attempts.
--- a/internal/controller/jobs/job.go
+++ b/internal/controller/jobs/job.go
@@ -69,12 +69,15 @@
 	RequiredByGuaranteed   bool      // a guaranteed job depends on this one, which therefore counts as guaranteed
 }
 
+// MachineAvoidance is how long a job avoids a machine after a task of it failed there.
+const MachineAvoidance = 30 * time.Second
+
 // FailureStatus holds the failures of a job's attempts. Package heartbeat sets it.
 type FailureStatus struct {
-	FailedMachines map[string]bool // machines on which tasks of the job failed
-	NotBefore      time.Time       // no task starts before this time
-	FailureCount   int             // number of failed attempts
-	CrashLooping   bool            // tasks fail on every machine; they are tried one at a time
+	AvoidedMachines map[string]time.Time // until when the job avoids machines on which a task of it failed, by machine ID
+	NotBefore       time.Time            // no task starts before this time
+	FailureCount    int                  // number of failed attempts
+	CrashLooping    bool                 // tasks fail on every machine; they are tried one at a time
 }
 
 // Job is a submitted job that is not archived yet.
--- a/internal/controller/tick.go
+++ b/internal/controller/tick.go
@@ -33,6 +33,7 @@
 	c.election.SetOldestCancellation(now, oldest, known)
 	leader.heartbeats.RemoveDeleted(now)
 	leader.checkLeases(now)
+	leader.heartbeats.EndAvoidances(now)
 	connectivity := c.election.Connectivity()
 	connectivity.Tick(now, leader.failover.ExpectedHeartbeats(), leader.failover.OverdueHeartbeats())
 	leader.failover.Tick(now, tickInterval)
--- a/internal/simulator/cloud.go
+++ b/internal/simulator/cloud.go
@@ -163,7 +163,6 @@
 			spot:             request.Spot,
 			requestedAt:      c.sim.Now,
 			tasks:            map[string]*machineTask{},
-			failedJobs:       map[string]bool{},
 			incarnation:      1,
 			targetController: c.sim.Rand.IntN(c.sim.Options.Controllers),
 		}
--- a/internal/simulator/failedattempt_test.go
+++ b/internal/simulator/failedattempt_test.go
@@ -58,3 +58,19 @@
 		t.Errorf("reasons: got %q, want none that denies machines for the job", reasons)
 	}
 }
+
+// TestJobRunsAgainOnItsOnlyMachineAfterFailure guards against a job that waits without end after one failed attempt, because it avoids the
+// only machine that fits it, which has room.
+func TestJobRunsAgainOnItsOnlyMachineAfterFailure(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(3) {
+		t.Run(seedName(seed), func(t *testing.T) {
+			sim := newFailedAttempt(t, seed, 1)
+			sim.Run(maxStartableWait + 2*queueCheckInterval)
+			expectNoViolations(t, sim.Cluster)
+			if sim.checker.jobs[failedAttemptJob].finishedAt.IsZero() {
+				t.Errorf("job one attempt of which failed: got unfinished %v later, want done", maxStartableWait+2*queueCheckInterval)
+			}
+		})
+	}
+}
--- a/internal/simulator/machine.go
+++ b/internal/simulator/machine.go
@@ -31,10 +31,9 @@
 	awaitsResponse   bool
 	tasks            map[string]*machineTask
 	reclaimAt        time.Time
-	isFaulty         bool            // every task on it fails
-	outboundCutUntil time.Time       // its heartbeats are lost until then
-	failedJobs       map[string]bool // jobs that had a failed task on this machine
-	bootCount        int             // number of restarts; heartbeat loops of earlier boots end
+	isFaulty         bool      // every task on it fails
+	outboundCutUntil time.Time // its heartbeats are lost until then
+	bootCount        int       // number of restarts; heartbeat loops of earlier boots end
 }
 
 // machineTask is one attempt of a task on a machine.
--- a/internal/simulator/queuecheck.go
+++ b/internal/simulator/queuecheck.go
@@ -99,7 +99,7 @@
 	tasksByZone, placed := checker.tasksByZone(spec)
 	return slices.DeleteFunc(slices.Clone(usage.machines), func(worker *machine) bool {
 		available := usage.available[worker]
-		isUsable := worker.reclaimAt.IsZero() && !worker.isFaulty && !worker.failedJobs[spec.ID] && worker.allowsJob(spec)
+		isUsable := worker.reclaimAt.IsZero() && !worker.isFaulty && worker.allowsJob(spec)
 		hasCapacity := available.cpus >= spec.CPUs && available.memoryGB >= spec.MemoryGB
 		fitsZone := (!spec.SingleZone || placed == tasksByZone[worker.zone]) &&
 			(!spec.SpreadAcrossZones || tasksByZone[worker.zone] < (spec.Tasks+1)/2)
--- a/internal/simulator/worker.go
+++ b/internal/simulator/worker.go
@@ -273,9 +273,6 @@
 		m.sim.checker.taskStopped(m, task)
 	}
 	task.state, task.reason, task.checkpointSaved = workerapi.StateExited, reason, checkpointSaved
-	if reason == workerapi.ReasonError {
-		m.failedJobs[task.id.JobID] = true
-	}
 	if reason == workerapi.ReasonDone {
 		m.sim.checker.taskCompleted(task.id)
 	}
