autoscaler: do not count machines on which placement starts no tasks of a job

Cause: capacityProjection.placeTasks and taskCapacity looked at KindAllowed only, placement at IsEligible. The free resources of the avoided or unreachable machine counted as room for the job. Such a job was also skipped once another job of its shape had justified no request.

Change: an avoided machine does not count for the job that avoids it, the machines of unreachable workers hold no waiting tasks, and a job that avoids a machine is planned apart from its shape.

Why it works: what does not count as room is unplaced, and a job without any room on an empty cluster justifies an instance by itself.

--- a/internal/controller/autoscaler/projection.go
+++ b/internal/controller/autoscaler/projection.go
@@ -13,12 +13,19 @@
 	totalCPUs        float64
 	machines         []projectedMachine // machines on which a task may still fit
 	byKind           map[cloud.InstanceKind]*kindCapacity
-	smallestTaskCPUs float64 // lowest CPU request of the waiting tasks
+	avoided          []projectedMachine // machines in byKind that some jobs avoid
+	smallestTaskCPUs float64            // lowest CPU request of the waiting tasks
 }
 
 type projectedMachine struct {
 	kind      cloud.InstanceKind
 	available worker.Resources
+	machine   *worker.Machine // nil if it is booting or planned
+}
+
+// accepts reports whether tasks of the job may start on the machine if it has enough available resources.
+func (m *projectedMachine) accepts(job *jobs.Job) bool {
+	return placement.KindAllowed(job, m.kind) && (m.machine == nil || !placement.IsAvoided(job, m.machine))
 }
 
 // kindCapacity counts the machines of a kind. machineResources are those of one empty machine.
@@ -44,12 +51,11 @@
 		case machine == nil:
 			projection.addMachine(tracked.Kind, tracked.machineType)
 		case machine.DrainReason != worker.NotDraining:
-		case !machine.HasSentHeartbeat: // its tasks are unknown, so it counts as full
-			projection.addMachine(tracked.Kind, tracked.machineType)
-			projection.setLastAvailable(worker.Resources{})
+		case machine.IsUnreachable:
+			projection.totalCPUs += tracked.machineType.CPUs // no task can start on it, but its running tasks continue
 		default:
 			projection.addMachine(tracked.Kind, tracked.machineType)
-			projection.setLastAvailable(machine.Available())
+			projection.setLast(machine)
 		}
 	}
 	return projection
@@ -68,9 +74,16 @@
 	capacity.count++
 }
 
-// setLastAvailable sets the available resources of the machine that was added last.
-func (p *capacityProjection) setLastAvailable(available worker.Resources) {
-	p.machines[len(p.machines)-1].available = available
+// setLast makes the machine that was added last a machine that is up.
+func (p *capacityProjection) setLast(machine *worker.Machine) {
+	last := &p.machines[len(p.machines)-1]
+	last.machine, last.available = machine, worker.Resources{}
+	if machine.HasSentHeartbeat { // otherwise its tasks are unknown, so it counts as full
+		last.available = machine.Available()
+	}
+	if len(machine.FailedJobs) > 0 {
+		p.avoided = append(p.avoided, *last)
+	}
 }
 
 // reserveOnLast places tasks on the machine that was added last. It returns their number.
@@ -97,7 +110,7 @@
 			return placed
 		}
 		current := &p.machines[i]
-		if fit := current.available.TasksThatFit(job); fit > 0 && placement.KindAllowed(job, current.kind) {
+		if fit := current.available.TasksThatFit(job); fit > 0 && current.accepts(job) {
 			placed += current.reserve(job, min(fit, maxTasks-placed))
 		}
 		if current.available.CPUs >= p.smallestTaskCPUs-units.ResourceTolerance {
@@ -117,7 +130,7 @@
 	return 1
 }
 
-// taskCapacity returns how many tasks of the job the machines could hold if nothing else ran.
+// taskCapacity returns how many tasks of the job the machines could hold if nothing else ran. Machines that the job avoids do not count.
 func (p *capacityProjection) taskCapacity(job *jobs.Job) int {
 	tasks := 0
 	for kind, capacity := range p.byKind {
@@ -125,5 +138,11 @@
 			tasks += capacity.count * capacity.machineResources.TasksThatFit(job)
 		}
 	}
+	for i := range p.avoided {
+		avoided := &p.avoided[i]
+		if placement.KindAllowed(job, avoided.kind) && placement.IsAvoided(job, avoided.machine) {
+			tasks -= p.byKind[avoided.kind].machineResources.TasksThatFit(job)
+		}
+	}
 	return tasks
 }
--- a/internal/controller/autoscaler/scaleout.go
+++ b/internal/controller/autoscaler/scaleout.go
@@ -101,8 +101,9 @@
 // addJob plans the instances for a job. startableTasks is the number of its tasks that can start, shape the number of its task
 // shape.
 func (p *scaleOutPlan) addJob(job *jobs.Job, startableTasks, shape int) {
-	hasIndependentTasks := !job.IsGang && !job.IsService
-	if startableTasks == 0 || hasIndependentTasks && p.saturatedShapes[shape] {
+	// The machines that such a job can use, and the instances that it justifies, are those of all jobs of its shape.
+	isTypicalOfShape := !job.IsGang && !job.IsService && len(job.AvoidedMachines) == 0
+	if startableTasks == 0 || isTypicalOfShape && p.saturatedShapes[shape] {
 		return
 	}
 	unplaced := startableTasks - p.capacity.placeTasks(job, startableTasks)
@@ -116,7 +117,9 @@
 		demand.missingPlaces = max(demand.missingPlaces, unplaced)
 	}
 	hasRequested := p.addInstancesFor(&demand)
-	p.saturatedShapes[shape] = hasIndependentTasks && unplaced == startableTasks && !hasRequested
+	if isTypicalOfShape {
+		p.saturatedShapes[shape] = unplaced == startableTasks && !hasRequested
+	}
 }
 
 // addInstancesFor plans instances of each kind that the job may use and that its demand justifies. It reports whether it planned
--- a/internal/simulator/failedattempt_test.go
+++ b/internal/simulator/failedattempt_test.go
@@ -74,3 +74,19 @@
 		})
 	}
 }
+
+// TestInstanceIsRequestedForJobThatAvoidsItsMachine guards against a job that waits for as long as it avoids its only machine, although the
+// cloud has others.
+func TestInstanceIsRequestedForJobThatAvoidsItsMachine(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(3) {
+		t.Run(seedName(seed), func(t *testing.T) {
+			sim := newFailedAttempt(t, seed, 2)
+			sim.Run(jobs.MachineAvoidance - 2*time.Second)
+			expectNoViolations(t, sim.Cluster)
+			if sim.checker.jobs[failedAttemptJob].finishedAt.IsZero() {
+				t.Error("job one attempt of which failed: got unfinished before its machine may be used again, want done")
+			}
+		})
+	}
+}
