autoscaler: request instances where the zone rules of a job allow its tasks

A service of one zone waited while a machine of the other had room.

For a job of one zone without attempts one zone is chosen, so that its instances are not scattered.

Why it works: tasks that may not run where room is are unplaced, and a service needs all of its replicas, so missing places request instances whatever the amount of work.

--- a/internal/controller/autoscaler/projection.go
+++ b/internal/controller/autoscaler/projection.go
@@ -86,19 +86,25 @@
 	}
 }
 
-// reserveOnLast places tasks on the machine that was added last. It returns their number.
-func (p *capacityProjection) reserveOnLast(job *jobs.Job, tasks int) int {
-	return p.machines[len(p.machines)-1].reserve(job, tasks)
+// placeOnLast places up to maxTasks tasks on the machine that was added last. It returns their number.
+func (p *capacityProjection) placeOnLast(job *jobs.Job, maxTasks int, zones *placement.ZoneAllowance) int {
+	return p.machines[len(p.machines)-1].place(job, maxTasks, zones)
 }
 
-func (m *projectedMachine) reserve(job *jobs.Job, tasks int) int {
+// place places up to maxTasks tasks of the job on the machine and returns how many it placed.
+func (m *projectedMachine) place(job *jobs.Job, maxTasks int, zones *placement.ZoneAllowance) int {
+	fit := min(m.available.TasksThatFit(job), maxTasks)
+	if fit <= 0 || !m.accepts(job) {
+		return 0
+	}
+	tasks := zones.Assign(m.kind.Zone, fit)
 	m.available = m.available.AfterPlacing(job, tasks)
 	return tasks
 }
 
-// placeTasks places up to maxTasks tasks of the job and returns how many it placed. It drops the full machines that it passes, so
-// that a loaded cluster is scanned only once.
-func (p *capacityProjection) placeTasks(job *jobs.Job, maxTasks int) int {
+// placeTasks places up to maxTasks tasks of the job within its zone rules and returns how many it placed. It drops the full machines
+// that it passes, so that a loaded cluster is scanned only once.
+func (p *capacityProjection) placeTasks(job *jobs.Job, maxTasks int, zones *placement.ZoneAllowance) int {
 	placed, kept := 0, 0
 	for i := range p.machines {
 		if placed >= maxTasks {
@@ -110,9 +116,7 @@
 			return placed
 		}
 		current := &p.machines[i]
-		if fit := current.available.TasksThatFit(job); fit > 0 && current.accepts(job) {
-			placed += current.reserve(job, min(fit, maxTasks-placed))
-		}
+		placed += current.place(job, maxTasks-placed, zones)
 		if current.available.CPUs >= p.smallestTaskCPUs-units.ResourceTolerance {
 			p.machines[kept] = *current
 			kept++
@@ -130,19 +134,54 @@
 	return 1
 }
 
-// taskCapacity returns how many tasks of the job the machines could hold if nothing else ran. Machines that the job avoids do not count.
-func (p *capacityProjection) taskCapacity(job *jobs.Job) int {
-	tasks := 0
+// taskCapacity returns how many tasks of the job the machines could hold within its zone rules if nothing else ran.
+func (p *capacityProjection) taskCapacity(job *jobs.Job, zones *placement.ZoneAllowance) int {
+	total, largest := 0, 0
+	if !placement.HasZoneRules(job) {
+		p.visitTaskCapacity(job, func(_ string, tasks int) { total += tasks })
+		return total
+	}
+	for zone, capacity := range p.taskCapacityByZone(job) {
+		tasks := min(capacity, zones.AllowedWhenEmpty(zone))
+		total += tasks
+		largest = max(largest, tasks)
+	}
+	if job.SingleZone {
+		return largest
+	}
+	return total
+}
+
+// taskCapacityByZone returns how many tasks of the job the machines of each zone could hold if nothing else ran.
+func (p *capacityProjection) taskCapacityByZone(job *jobs.Job) map[string]int {
+	byZone := map[string]int{}
+	p.visitTaskCapacity(job, func(zone string, tasks int) { byZone[zone] += tasks })
+	return byZone
+}
+
+// visitTaskCapacity calls visit with parts of the number of tasks that the machines of a zone could hold if nothing else ran. The parts of
+// a zone add up to its number. The part of machines that the job avoids is negative.
+func (p *capacityProjection) visitTaskCapacity(job *jobs.Job, visit func(zone string, tasks int)) {
 	for kind, capacity := range p.byKind {
 		if placement.KindAllowed(job, kind) {
-			tasks += capacity.count * capacity.machineResources.TasksThatFit(job)
+			visit(kind.Zone, capacity.count*capacity.machineResources.TasksThatFit(job))
 		}
 	}
 	for i := range p.avoided {
 		avoided := &p.avoided[i]
 		if placement.KindAllowed(job, avoided.kind) && placement.IsAvoided(job, avoided.machine) {
-			tasks -= p.byKind[avoided.kind].machineResources.TasksThatFit(job)
+			visit(avoided.kind.Zone, -p.byKind[avoided.kind].machineResources.TasksThatFit(job))
 		}
 	}
-	return tasks
+}
+
+// availableByZone returns how many more tasks of the job fit on the machines of each zone.
+func (p *capacityProjection) availableByZone(job *jobs.Job) map[string]int {
+	byZone := map[string]int{}
+	for i := range p.machines {
+		if machine := &p.machines[i]; machine.accepts(job) {
+			byZone[machine.kind.Zone] += machine.available.TasksThatFit(job)
+		}
+	}
+	return byZone
 }
--- a/internal/controller/autoscaler/scaleout.go
+++ b/internal/controller/autoscaler/scaleout.go
@@ -55,6 +55,7 @@
 	offering
 	maxRequestable    int
 	requested         int
+	isPending         bool // an earlier request has no outcome yet
 	isZoneUnavailable bool
 	isEvaluated       bool // the kind is expensive and was evaluated against the objectives
 	worthwhileCount   int  // if isEvaluated: number of instances that are worth their price
@@ -64,6 +65,11 @@
 	completableWork float64
 }
 
+// fits reports whether tasks of the job may run on an instance of the kind and fit there.
+func (k *plannedKind) fits(job *jobs.Job) bool {
+	return placement.KindAllowed(job, k.kind) && placement.TasksPerMachine(job, k.machineType) > 0
+}
+
 func (s *Scaler) newScaleOutPlan(now time.Time, offerings []offering, order []queue.Entry) *scaleOutPlan {
 	plan := &scaleOutPlan{capacity: s.projectCapacity(), saturatedShapes: map[int]bool{}}
 	backlog := s.backlogByTeam(order)
@@ -76,6 +82,7 @@
 			planned = &plannedKind{
 				offering:          offered,
 				maxRequestable:    s.maxRequestable(now, offered.kind),
+				isPending:         s.cloud.HasPendingRequest(offered.kind),
 				isZoneUnavailable: s.zones.IsUnavailable(offered.kind.Zone),
 				requiredBacklog:   required,
 				completableWork:   backlog.completableWithin(required),
@@ -96,21 +103,26 @@
 	// the required tasks that would not fit even on an otherwise empty cluster. For a guaranteed job that must not use spot
 	// instances they are at least all unplaced tasks.
 	missingPlaces int
+	zones         placement.ZoneAllowance
 }
 
 // addJob plans the instances for a job. startableTasks is the number of its tasks that can start, shape the number of its task
 // shape.
 func (p *scaleOutPlan) addJob(job *jobs.Job, startableTasks, shape int) {
 	// The machines that such a job can use, and the instances that it justifies, are those of all jobs of its shape.
-	isTypicalOfShape := !job.IsGang && !job.IsService && len(job.AvoidedMachines) == 0
+	isTypicalOfShape := !job.IsGang && !job.IsService && len(job.AvoidedMachines) == 0 && !placement.HasZoneRules(job)
 	if startableTasks == 0 || isTypicalOfShape && p.saturatedShapes[shape] {
 		return
 	}
-	unplaced := startableTasks - p.capacity.placeTasks(job, startableTasks)
+	demand := jobDemand{job: job, zones: placement.NewZoneAllowance(job)}
+	if job.SingleZone {
+		demand.zones.LimitTo(p.chooseZone(job, startableTasks))
+	}
+	unplaced := startableTasks - p.capacity.placeTasks(job, startableTasks, &demand.zones)
 	if unplaced <= 0 {
 		return
 	}
-	demand := jobDemand{job: job, unplacedTasks: unplaced, missingPlaces: requiredTasks(job) - p.capacity.taskCapacity(job)}
+	demand.unplacedTasks, demand.missingPlaces = unplaced, requiredTasks(job)-p.capacity.taskCapacity(job, &demand.zones)
 	if job.HasGuarantee() && !job.AllowsSpot {
 		// Most capacity is spot instances, on which the job may not run. The backlog of the cluster therefore does not show how long
 		// the job waits. Without this rule such jobs queue for a single machine past their deadlines.
@@ -130,11 +142,10 @@
 		if demand.unplacedTasks <= 0 {
 			break
 		}
-		perMachine := placement.TasksPerMachine(demand.job, planned.machineType)
-		if perMachine == 0 || !placement.KindAllowed(demand.job, planned.kind) || planned.maxRequestable == 0 {
+		if planned.maxRequestable == 0 || !planned.fits(demand.job) {
 			continue
 		}
-		for demand.unplacedTasks > 0 && planned.requested < planned.maxRequestable && p.isJustified(planned, demand) {
+		for demand.mayUse(planned) && planned.requested < planned.maxRequestable && p.isJustified(planned, demand) {
 			planned.requested++
 			hasRequested = true
 			clear(p.saturatedShapes)
@@ -142,13 +153,19 @@
 				break // a probe of the zone: its capacity does not count
 			}
 			p.capacity.addMachine(planned.kind, planned.machineType)
-			demand.missingPlaces -= perMachine
-			demand.unplacedTasks -= p.capacity.reserveOnLast(demand.job, min(perMachine, demand.unplacedTasks))
+			placed := p.capacity.placeOnLast(demand.job, demand.unplacedTasks, &demand.zones)
+			demand.missingPlaces -= placed
+			demand.unplacedTasks -= placed
 		}
 	}
 	return hasRequested
 }
 
+// mayUse reports whether tasks of the demand are unplaced and may run on an instance of the kind by the zone rules of the job.
+func (d *jobDemand) mayUse(planned *plannedKind) bool {
+	return d.unplacedTasks > 0 && d.zones.Allowed(planned.kind.Zone) > 0
+}
+
 // isJustified reports whether the demand justifies one more instance of the kind.
 func (p *scaleOutPlan) isJustified(planned *plannedKind, demand *jobDemand) bool {
 	return demand.missingPlaces > 0 ||
--- a/internal/controller/placement/eligibility.go
+++ b/internal/controller/placement/eligibility.go
@@ -37,7 +37,7 @@
 // TasksAllowedInZone returns how many more tasks of the job its zone constraints allow in the zone. Every active attempt
 // counts, also one that may already have ended. Without zone constraints, the result is the job's number of tasks.
 func TasksAllowedInZone(job *jobs.Job, zone string) int {
-	if !job.SingleZone && !job.SpreadAcrossZones {
+	if !HasZoneRules(job) {
 		return job.Tasks
 	}
 	inZone, inOtherZones := job.AttemptsInZone(zone)
@@ -45,7 +45,7 @@
 		return 0
 	}
 	if job.SpreadAcrossZones {
-		return max((job.Tasks+1)/2-inZone, 0)
+		return max(maxSpreadTasks(job)-inZone, 0)
 	}
 	return job.Tasks
 }
--- /dev/null
+++ b/internal/simulator/replicas_test.go
@@ -0,0 +1,84 @@
+package simulator
+
+import (
+	"testing"
+	"time"
+
+	"gullrudder/internal/controller/jobs"
+)
+
+// expectInBothZones fails the test and ends it unless two tasks of the job run in each zone.
+func (sim *Cluster) expectInBothZones(t *testing.T, spec jobs.Spec, when string) {
+	t.Helper()
+	if byZone, _ := sim.checker.tasksByZone(spec); byZone["a"] != 2 || byZone["b"] != 2 {
+		t.Fatalf("replicas running by zone %s: got %v, want 2 in each of a and b", when, byZone)
+	}
+}
+
+// TestLostReplicasRunAgainWithinZoneRules guards against replicas that are never started again after a zone has lost its machines, because
+// the room in the other zone counts although the zone rules of the service forbid it.
+func TestLostReplicasRunAgainWithinZoneRules(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(3) {
+		t.Run(seedName(seed), func(t *testing.T) {
+			sim := pipelineCluster(t, seed)
+			service := jobArray("job-000001", "c", noTeam, 4, serviceRunTime)
+			service.IsService, service.SpreadAcrossZones, service.RunTimeEstimate = true, true, 0
+			sim.Users.SubmitJob(service, serviceRunTime)
+			sim.Run(30 * time.Second)
+			sim.expectInBothZones(t, service, "at the start")
+			for _, machine := range sim.Cloud.runningMachines() {
+				if machine.zone == "b" {
+					machine.terminate()
+				}
+			}
+			sim.Run(maxStartableWait)
+			expectNoViolations(t, sim.Cluster)
+			sim.expectInBothZones(t, service, "after the loss of the machines of zone b")
+		})
+	}
+}
+
+// TestOneZoneReplicasRunAgainInTheirZone guards against the same for a service that must run in one zone: its lost replicas wait while a
+// machine of the other zone has room.
+func TestOneZoneReplicasRunAgainInTheirZone(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(3) {
+		t.Run(seedName(seed), func(t *testing.T) {
+			sim := pipelineCluster(t, seed)
+			service := jobArray("job-000001", "c", noTeam, 4, serviceRunTime)
+			service.IsService, service.SingleZone, service.CPUs, service.RunTimeEstimate = true, true, 2, 0
+			service.MachineTypes = []string{"small"}
+			sim.Users.SubmitJob(service, serviceRunTime)
+			sim.Run(30 * time.Second)
+			lost := sim.machinesWithTasks()[0]
+			sim.keepRoomOutside(lost.zone)
+			sim.Run(20 * time.Second)
+			lost.terminate()
+			sim.Run(maxStartableWait)
+			expectNoViolations(t, sim.Cluster)
+			if _, running := sim.checker.tasksByZone(service); running != service.Tasks {
+				t.Errorf("replicas running after the loss of a machine: got %d, want %d", running, service.Tasks)
+			}
+		})
+	}
+}
+
+// machinesWithTasks returns the machines that hold tasks.
+func (sim *Cluster) machinesWithTasks() []*machine {
+	var list []*machine
+	for _, machine := range sim.Cloud.runningMachines() {
+		if len(machine.tasks) > 0 {
+			list = append(list, machine)
+		}
+	}
+	return list
+}
+
+// keepRoomOutside submits a service of one small task in the other zone, so that a machine with room stays there.
+func (sim *Cluster) keepRoomOutside(zone string) {
+	other := jobArray("job-000002", "c", noTeam, 1, serviceRunTime)
+	other.IsService, other.RunTimeEstimate, other.MachineTypes = true, 0, []string{"small"}
+	other.Zone = map[string]string{"a": "b", "b": "a"}[zone]
+	sim.Users.SubmitJob(other, serviceRunTime)
+}
