placement: reserve machines only where the zone rules of a job allow its tasks

What callers saw (in tests): a machine with room on which nothing started, since it was reserved for a service that may have no further task in its zone; and a service whose missing replica got no machine of the other zone, since the room in the first counted as room for it.

Change: both apply them. FitsAsShape says in one place which jobs the counts cached by shape do not hold for: those that avoid machines now (before: all that ever failed) and those with zone rules. In TestShapeFitsMatchScan the job that failed therefore has its AvoidedMachines set, as the heartbeat handler does.

--- a/internal/controller/autoscaler/scaleout.go
+++ b/internal/controller/autoscaler/scaleout.go
@@ -109,9 +109,8 @@
 // addJob plans the instances for a job. startableTasks is the number of its tasks that can start, shape the number of its task
 // shape.
 func (p *scaleOutPlan) addJob(job *jobs.Job, startableTasks, shape int) {
-	// The machines that such a job can use, and the instances that it justifies, are those of all jobs of its shape.
-	isTypicalOfShape := !job.IsGang && !job.IsService && len(job.AvoidedMachines) == 0 && !placement.HasZoneRules(job)
-	if startableTasks == 0 || isTypicalOfShape && p.saturatedShapes[shape] {
+	isPlannedByShape := !job.IsGang && !job.IsService && placement.FitsAsShape(job)
+	if startableTasks == 0 || isPlannedByShape && p.saturatedShapes[shape] {
 		return
 	}
 	demand := jobDemand{job: job, zones: placement.NewZoneAllowance(job)}
@@ -129,7 +128,7 @@
 		demand.missingPlaces = max(demand.missingPlaces, unplaced)
 	}
 	hasRequested := p.addInstancesFor(&demand)
-	if isTypicalOfShape {
+	if isPlannedByShape {
 		p.saturatedShapes[shape] = unplaced == startableTasks && !hasRequested
 	}
 }
--- a/internal/controller/placement/placement_test.go
+++ b/internal/controller/placement/placement_test.go
@@ -60,7 +60,7 @@
 			job.AllowsSpot, job.Zone = rapid.Bool().Draw(t, "spot"), rapid.SampledFrom([]string{"", "a"}).Draw(t, "zone")
 			if rapid.IntRange(0, 3).Draw(t, "failed") == 0 {
 				machines[0].FailedJobs[job.ID] = true
-				job.FailureCount = 1
+				job.AvoidedMachines = map[string]time.Time{machines[0].ID: f.Now.Add(jobs.MachineAvoidance)}
 			}
 			maxTasks := rapid.IntRange(1, job.Tasks).Draw(t, "want")
 			got, want := fits.fittingTasks(job, f.order.shapeNumber(job), machines, maxTasks), countFittingTasks(job, machines, maxTasks)
--- a/internal/controller/placement/reservations.go
+++ b/internal/controller/placement/reservations.go
@@ -108,11 +108,11 @@
 	return len(pass.unreserved) > 0
 }
 
-// isReservable reports whether the machine can be reserved for a task of the job: it is eligible and not reserved yet, is
-// too full for a task now, and has enough CPUs and memory for one when empty.
+// isReservable reports whether the machine can be reserved for a task of the job: it is eligible and not reserved yet, its zone is allowed,
+// it is too full for a task now, and it has enough CPUs and memory for one when empty.
 func isReservable(machine *worker.Machine, job *jobs.Job) bool {
 	return machine.ReservedFor == nil && IsEligible(job, machine) && machine.TasksThatFit(job) == 0 &&
-		machine.CPUs >= job.CPUs && machine.MemoryGB >= job.MemoryGB
+		TasksAllowedInZone(job, machine.Zone) > 0 && machine.CPUs >= job.CPUs && machine.MemoryGB >= job.MemoryGB
 }
 
 // reserveForGang reserves machines for a waiting gang by the number of tasks that they hold when empty. It returns the
--- a/internal/controller/placement/shapes.go
+++ b/internal/controller/placement/shapes.go
@@ -9,8 +9,8 @@
 	"gullrudder/internal/units"
 )
 
-// Shape holds the properties of a job that determine on which machines its tasks fit. It does not cover failures: a job
-// avoids the machines on which its tasks failed.
+// Shape holds the properties of a job that determine on which machines its tasks fit. It covers neither failures nor zone rules, see
+// FitsAsShape.
 type Shape struct {
 	cpus, gpus, memoryGB float64
 	zone, machineTypes   string
@@ -22,6 +22,10 @@
 	return Shape{job.CPUs, job.GPUs, job.MemoryGB, job.Zone, strings.Join(job.MachineTypes, " "), job.AllowsSpot}
 }
 
+// FitsAsShape reports whether the tasks of the job fit on the same machines as those of any other such job of its shape. A job that avoids
+// machines, and one with zone rules, may fit on fewer.
+func FitsAsShape(job *jobs.Job) bool { return len(job.AvoidedMachines) == 0 && !HasZoneRules(job) }
+
 // representativeOf returns a copy of the job with the maximum number of tasks. Counts for it apply to all jobs of its shape.
 func representativeOf(job *jobs.Job) *jobs.Job {
 	representative := *job
@@ -44,7 +48,7 @@
 // isExhausted reports whether an earlier search found no machine to reserve for a job of the same shape. Machines are only
 // removed from the unreserved ones, so none would be found for this job either.
 func (f shapeFits) isExhausted(job *jobs.Job, number int) bool {
-	return job.FailureCount == 0 && f[number].isExhausted
+	return FitsAsShape(job) && f[number].isExhausted
 }
 
 // recordReservation records how many machines were reserved for a job, and how many were removed from the unreserved
@@ -53,7 +57,7 @@
 	for i := range f {
 		f[i].isCounted = f[i].isCounted && removed == 0
 	}
-	if reserved == 0 && job.FailureCount == 0 {
+	if reserved == 0 && FitsAsShape(job) {
 		f[number].isExhausted = true
 	}
 }
@@ -61,8 +65,8 @@
 // fittingTasks returns how many of the job's tasks, up to maxTasks, fit on the unreserved machines. The machines must be
 // sorted by available CPUs in descending order.
 func (f shapeFits) fittingTasks(job *jobs.Job, number int, machines []*worker.Machine, maxTasks int) int {
-	if job.FailureCount > 0 {
-		return countFittingTasks(job, machines, maxTasks) // this job avoids the machines on which it failed
+	if !FitsAsShape(job) {
+		return countFittingTasks(job, machines, maxTasks)
 	}
 	fit := &f[number]
 	if !fit.isCounted {
@@ -73,13 +77,13 @@
 
 // countFittingTasks returns the result of fittingTasks without the cache, by a scan of the machines.
 func countFittingTasks(job *jobs.Job, machines []*worker.Machine, maxTasks int) int {
-	tasks := 0
+	tasks, zones := 0, NewZoneAllowance(job)
 	for _, machine := range machines {
 		if tasks >= maxTasks || job.CPUs > 0 && machine.CPUs-machine.UsedCPUs < job.CPUs-units.ResourceTolerance {
 			break // the remaining machines have fewer available CPUs
 		}
 		if IsEligible(job, machine) {
-			tasks += machine.TasksThatFit(job)
+			tasks += zones.Assign(machine.Zone, machine.TasksThatFit(job))
 		}
 	}
 	return min(tasks, maxTasks)
--- a/internal/controller/placement/start_tasks.go
+++ b/internal/controller/placement/start_tasks.go
@@ -192,7 +192,7 @@
 // tasksLeftToFuller returns how many of the job's waiting tasks are left to fuller machines.
 func (p *Placer) tasksLeftToFuller(now time.Time, entry *candidate, machine *worker.Machine) int {
 	job := entry.Job
-	if HasZoneRules(job) || job.FailureCount > 0 || p.reservations.jobs[job] {
+	if !FitsAsShape(job) || p.reservations.jobs[job] {
 		// The result for such a job may differ from that for other jobs of its shape.
 		return p.tasksOnFuller(now, job, machine, job.WaitingTasks(), maxMachinesExamined)
 	}
