placement: preempt for a job whose zone rules forbid the room elsewhere

What callers saw (in a test): a guaranteed job that is spread across zones would miss its deadline, since room in a zone where it may have no further task counted as a machine for it, so that nothing was stopped in the other zone.

Change: it counts within placement.ZoneAllowance.

Measured: TestRoomInForbiddenZoneDoesNotPreventPreemption failed before (0 tasks stopped, 1 needed) and passes now.

--- a/internal/controller/placement/preempt.go
+++ b/internal/controller/placement/preempt.go
@@ -97,6 +97,7 @@
 // tasksWithoutMachine returns how many of the job's tasks fit neither on available resources nor on those that will soon be
 // available. Zero or less means that all of them fit.
 func (s *preemptionSurvey) tasksWithoutMachine(job *jobs.Job, tasks int) int {
+	zones := NewZoneAllowance(job)
 	for _, freeable := range s.freeable {
 		if tasks <= 0 {
 			break
@@ -104,10 +105,11 @@
 		if !IsEligible(job, freeable.machine) {
 			continue
 		}
-		tasks -= freeable.machine.TasksThatFit(job)
+		fit := freeable.machine.TasksThatFit(job)
 		if job.CPUs > 0 {
-			tasks -= int(freeable.stoppingCPUs / job.CPUs)
+			fit += int(freeable.stoppingCPUs / job.CPUs)
 		}
+		tasks -= zones.Assign(freeable.machine.Zone, fit)
 	}
 	return tasks
 }
--- a/internal/controller/placement/preempt_test.go
+++ b/internal/controller/placement/preempt_test.go
@@ -65,3 +65,17 @@
 		})
 	}
 }
+
+// TestRoomInForbiddenZoneDoesNotPreventPreemption guards against a guaranteed job that misses its deadline, because room in a zone where it
+// may have no further task counts as room for it.
+func TestRoomInForbiddenZoneDoesNotPreventPreemption(t *testing.T) {
+	f, machine, guaranteed := preemptionFixture(10*time.Second, 40*time.Second)
+	guaranteed.SpreadAcrossZones = true
+	other := f.AddMachine(1, "large", "b", false)
+	f.assign(other, guaranteed)
+	f.Now = f.Now.Add(time.Second)
+	f.preempt(f.Now)
+	if stopped := countStopped(machine); stopped != 1 {
+		t.Errorf("stopped tasks in the zone that the job may use: got %d, want 1", stopped)
+	}
+}
