autoscaler: consolidation keeps tasks of jobs with zone rules in their zone

What callers saw (in a test): a machine was drained for room in another zone, where the job of its task may have no further task; the task would have waited.

Measured: TestTaskStaysInItsZone failed before (1 machine drained) and passes now.

--- a/internal/controller/autoscaler/consolidate.go
+++ b/internal/controller/autoscaler/consolidate.go
@@ -111,7 +111,7 @@
 	}
 	var moves []move
 	for _, attempt := range machine.Attempts {
-		target := findTarget(attempt.Job, others, available)
+		target := findTarget(attempt, others, available)
 		if target < 0 {
 			for _, m := range moves {
 				available[m.target] = available[m.target].AfterPlacing(m.job, -1)
@@ -124,9 +124,14 @@
 	return true
 }
 
-// findTarget returns the index of the last machine that can take a task of the job, or -1 if none can.
-func findTarget(job *jobs.Job, machines []*worker.Machine, available []worker.Resources) int {
+// findTarget returns the index of the last machine that can take the task of the attempt, or -1 if none can. A task of a job with zone
+// rules stays in its zone.
+func findTarget(attempt *jobs.Attempt, machines []*worker.Machine, available []worker.Resources) int {
+	job := attempt.Job
 	for i, machine := range slices.Backward(machines) {
+		if placement.HasZoneRules(job) && machine.Zone != attempt.Zone {
+			continue
+		}
 		if available[i].TasksThatFit(job) > 0 && placement.IsEligible(job, machine) && machine.ReservedFor == nil {
 			return i
 		}
--- a/internal/controller/autoscaler/consolidate_test.go
+++ b/internal/controller/autoscaler/consolidate_test.go
@@ -108,3 +108,20 @@
 	}
 	return len(heartbeat.Tasks)
 }
+
+// TestTaskStaysInItsZone guards against a task that waits after a consolidation, because it was moved for a machine in a zone where its job
+// may have no further task.
+func TestTaskStaysInItsZone(t *testing.T) {
+	for _, hasZoneRules := range []bool{false, true} {
+		f, job, machines := newUnderusedFixture(15 * time.Second)
+		job.SpreadAcrossZones = hasZoneRules
+		for _, attempt := range machines[0].Attempts {
+			attempt.Zone, machines[0].Zone = "b", "b"
+		}
+		want := 1
+		if hasZoneRules {
+			want = 0
+		}
+		f.consolidateAndCheck(t, machines, want)
+	}
+}
