accounting: name the right reason of a job whose zone rules forbid the free room

What callers saw (in a test): the account and the metrics said that a job waits for a heartbeat, while the only room was in a zone where it may have no further task.

Change: machines and booting instances of zones without an allowed task do not count.

--- a/internal/controller/accounting/availability.go
+++ b/internal/controller/accounting/availability.go
@@ -16,8 +16,7 @@
 }
 
 func (s *sample) availabilityFor(job *jobs.Job) availability {
-	// A job with failures avoids the machines on which it failed, so the cached availability does not apply to it.
-	if job.FailureCount > 0 {
+	if !placement.FitsAsShape(job) {
 		return s.findAvailability(job)
 	}
 	shape := placement.ShapeOf(job)
@@ -32,7 +31,8 @@
 func (s *sample) findAvailability(job *jobs.Job) availability {
 	found := availability{reservedFor: map[*jobs.Job]bool{}}
 	for _, machine := range s.machines {
-		if !placement.IsEligible(job, machine) || machine.TasksThatFitWhenEmpty(job) == 0 {
+		if !placement.IsEligible(job, machine) || placement.TasksAllowedInZone(job, machine.Zone) == 0 ||
+			machine.TasksThatFitWhenEmpty(job) == 0 {
 			continue
 		}
 		found.hasUsable = true
@@ -48,7 +48,8 @@
 	}
 	for _, kind := range s.bootingKinds {
 		machineType := s.Cloud.MachineTypes[kind.Type]
-		if machineType != nil && placement.KindAllowed(job, kind) && placement.FitsType(job, machineType) {
+		if machineType != nil && placement.KindAllowed(job, kind) && placement.FitsType(job, machineType) &&
+			placement.TasksAllowedInZone(job, kind.Zone) > 0 {
 			found.hasBooting = true
 		}
 	}
--- a/internal/controller/accounting/tracker_test.go
+++ b/internal/controller/accounting/tracker_test.go
@@ -282,3 +282,16 @@
 		})
 	}
 }
+
+// TestRoomInForbiddenZoneIsNoReason guards against an account that says of a job that it waits for a heartbeat, although the room is in a
+// zone where it may have no further task.
+func TestRoomInForbiddenZoneIsNoReason(t *testing.T) {
+	r := &reasonTest{cluster: newCluster(), t: t, tracker: newTracker()}
+	r.job = newJob(1, 2, r.now)
+	r.job.SpreadAcrossZones = true
+	r.tracker.Open(r.job)
+	machine := r.addMachine(1)
+	r.expect(NoUsableMachine, func() { r.startTask(machine, r.job) })
+	r.expect(NoUsableMachine, func() { r.Cloud.ObserveHeartbeat(r.now, "vm-2", "", cloud.InstanceKind{Type: "small", Zone: "a"}) })
+	r.expect(MachineBooting, func() { r.Cloud.ObserveHeartbeat(r.now, "vm-3", "", cloud.InstanceKind{Type: "small", Zone: "b"}) })
+}
