--- a/internal/controller/runtime.go
+++ b/internal/controller/runtime.go
@@ -112,6 +112,7 @@
 		IdleTimeout:    idleTimeout,
 		ReadTimeout:    readTimeout,
 		Handler:        rt.handle,
+		Log:            rt.log,
 	})
 	for {
 		err := httpServer.Run()
--- a/internal/logkeys/logkeys.go
+++ b/internal/logkeys/logkeys.go
@@ -24,6 +24,7 @@
 	Process      = "process"       // name of a process of a site
 	ProcessGroup = "process_group" // process group of a task
 	Worker       = "worker"        // address of a worker
+	RemoteAddr   = "remote_addr"   // address of the client of a request
 )
 
 // Keys of stored data.
--- a/internal/site/agent/runtime.go
+++ b/internal/site/agent/runtime.go
@@ -118,6 +118,7 @@
 			IdleTimeout:    75 * time.Second,
 			ReadTimeout:    10 * time.Second,
 			Handler:        r.handle,
+			Log:            r.log,
 		},
 	)
 	return server.RunWithRestart(r.log)
--- a/internal/site/kvserver/server.go
+++ b/internal/site/kvserver/server.go
@@ -70,7 +70,7 @@
 	go s.runSender()
 	server := http1.NewServer(http1.ServerOptions{
 		PublicAddr: addr, MaxConnections: s.options.MaxConnections, IdleTimeout: idleTimeout, ReadTimeout: readTimeout,
-		Handler: s.enqueue,
+		Handler: s.enqueue, Log: s.log,
 	})
 	return server.RunWithRestart(s.log)
 }
--- a/internal/site/machinepool/service.go
+++ b/internal/site/machinepool/service.go
@@ -95,6 +95,7 @@
 		IdleTimeout:    idleTimeout,
 		ReadTimeout:    readTimeout,
 		Handler:        s.handle,
+		Log:            s.log,
 	})
 	return server.RunWithRestart(s.log)
 }
--- a/internal/wire/http1/server.go
+++ b/internal/wire/http1/server.go
@@ -42,12 +42,14 @@
 	IdleTimeout    time.Duration  // a connection without a request for this long is closed
 	ReadTimeout    time.Duration  // a request must be complete within this time
 	Handler        func(*Request) // runs on the evio loop and must not block
+	Log            *slog.Logger   // for requests that are refused before Handler sees them; nil: not logged
 }
 
 // Server accepts connections on one or two addresses with evio and parses their requests.
 type Server struct {
-	options ServerOptions
-	conns   map[*conn]struct{} // owned by the evio loop
+	options  ServerOptions
+	conns    map[*conn]struct{} // owned by the evio loop
+	refusals refusalLog
 }
 
 const (
@@ -65,7 +67,7 @@
 
 // NewServer returns a server that is started with Run or RunWithRestart.
 func NewServer(options ServerOptions) *Server {
-	return &Server{options: options, conns: map[*conn]struct{}{}}
+	return &Server{options: options, conns: map[*conn]struct{}{}, refusals: refusalLog{log: options.Log}}
 }
 
 // Run serves until the listeners fail. It always returns an error.
@@ -136,6 +138,7 @@
 	state.buffer = append(state.buffer, input...)
 	message, err := state.takeMessage()
 	if err != nil {
+		s.refusals.record(time.Now(), evioConn.RemoteAddr().String(), err)
 		return AppendResponse(nil, errorStatus(err), nil, 0, true), evio.Close
 	}
 	if message != nil {
--- a/internal/wire/metrics/metrics.go
+++ b/internal/wire/metrics/metrics.go
@@ -28,7 +28,7 @@
 func Serve(registry *prometheus.Registry, addr string, log *slog.Logger) error {
 	server := http1.NewServer(http1.ServerOptions{
 		PublicAddr: addr, MaxConnections: maxConnections, IdleTimeout: idleTimeout, ReadTimeout: readTimeout,
-		Handler: func(r *http1.Request) { respond(r, registry, log) },
+		Handler: func(r *http1.Request) { respond(r, registry, log) }, Log: log,
 	})
 	return fmt.Errorf("serve metrics at %s: %w", addr, server.Run())
 }
