worker: bound the tasks on a machine by what a heartbeat can list

Cause: the commands of one response were bounded, the tasks of one machine were not. Only the site's own worker knew a bound (agent.maxAttempts), and refused more.

Change: worker.Resources counts tasks too, so placement, gangs, reservations, preemption, consolidation and the autoscaler have the same bound: 400 attempts (workerapi.MaxTasksPerMachine, the bound of the site's worker, which now uses it). Exited tasks that the worker still lists count. explain names machines at the bound. The simulator refuses heartbeats of more than 64 KiB as the server does.

Why it works: the largest heartbeat with 400 tasks is below 64 KiB, in MessagePack and as JSON, with the longest IDs and numbers.

--- a/internal/controller/api/explain_wait.go
+++ b/internal/controller/api/explain_wait.go
@@ -7,6 +7,7 @@
 	"gullrudder/internal/controller/jobs"
 	"gullrudder/internal/controller/placement"
 	"gullrudder/internal/controller/worker"
+	"gullrudder/internal/wire/workerapi"
 )
 
 // waitExplanation collects the reasons and remedies of one job. It checks every condition that placement checks
@@ -30,6 +31,7 @@
 	machines := w.surveyMachines()
 	w.explainCapacity(machines)
 	w.explainAvoided(machines)
+	w.explainTasksFull(machines)
 	w.explainReservations(machines)
 	w.explainUnreachable(machines)
 	w.explainStartBound()
@@ -111,6 +113,7 @@
 	fittingTasks int // tasks that the available resources of the other machines allow
 	withImage    int // machines that count for fittingTasks and have the job's image
 	unreachable  int // send heartbeats but seem to receive no responses
+	tasksFull    int // hold the maximum number of tasks
 }
 
 func (w *waitExplanation) surveyMachines() machineSurvey {
@@ -126,6 +129,9 @@
 			continue
 		}
 		survey.eligible++
+		if machine.Available().Tasks <= 0 {
+			survey.tasksFull++
+		}
 		tasks := machine.TasksThatFit(w.job)
 		switch {
 		case tasks == 0:
@@ -177,6 +183,12 @@
 	}
 }
 
+func (w *waitExplanation) explainTasksFull(machines machineSurvey) {
+	if machines.tasksFull > 0 {
+		w.addReason("%d machines hold %d tasks, the most that a worker may report", machines.tasksFull, workerapi.MaxTasksPerMachine)
+	}
+}
+
 func (w *waitExplanation) explainReservations(machines machineSurvey) {
 	if machines.reserved > 0 {
 		w.addReason("%d machines with available resources are reserved for other jobs", machines.reserved)
--- a/internal/controller/placement/eligibility.go
+++ b/internal/controller/placement/eligibility.go
@@ -8,6 +8,7 @@
 	"gullrudder/internal/controller/jobs"
 	"gullrudder/internal/controller/worker"
 	"gullrudder/internal/units"
+	"gullrudder/internal/wire/workerapi"
 )
 
 // KindAllowed reports whether the job's constraints allow instances of the kind.
@@ -26,7 +27,9 @@
 
 // TypeResources returns the resources of an empty machine of the type.
 func TypeResources(machineType *cloud.MachineType) worker.Resources {
-	return worker.Resources{CPUs: machineType.CPUs, GPUs: machineType.GPUs, MemoryGB: machineType.MemoryGB}
+	return worker.Resources{
+		CPUs: machineType.CPUs, GPUs: machineType.GPUs, MemoryGB: machineType.MemoryGB, Tasks: workerapi.MaxTasksPerMachine,
+	}
 }
 
 // TasksPerMachine returns how many of the job's tasks fit on an empty machine of the type.
--- a/internal/controller/placement/quota.go
+++ b/internal/controller/placement/quota.go
@@ -86,7 +86,7 @@
 
 // remainingQuota returns how much more the team may use.
 func remainingQuota(team config.Team, used *worker.Usage) worker.Resources {
-	left := worker.Resources{CPUs: unlimitedResource, GPUs: unlimitedResource, MemoryGB: unlimitedResource}
+	left := worker.Resources{CPUs: unlimitedResource, GPUs: unlimitedResource, MemoryGB: unlimitedResource, Tasks: math.MaxInt}
 	if team.CPULimit > 0 {
 		left.CPUs = team.CPULimit - used.CPUs
 	}
--- a/internal/controller/worker/machine.go
+++ b/internal/controller/worker/machine.go
@@ -16,8 +16,9 @@
 	CPUs, GPUs, MemoryGB             float64 // capacity, 0 until the type is known
 	UsedCPUs, UsedGPUs, UsedMemoryGB float64
 
-	Attempts   map[jobs.TaskID]*jobs.Attempt // attempts that may be on the machine
-	ImageCache ImageCache
+	Attempts    map[jobs.TaskID]*jobs.Attempt // attempts that may be on the machine
+	ExitedTasks int                           // exited attempts in the newest heartbeat; the worker lists them until it forgets them
+	ImageCache  ImageCache
 
 	Contact
 	Registration
@@ -56,7 +57,8 @@
 
 // Available returns the resources that no attempt uses. They are negative if the attempts exceed the capacity.
 func (m *Machine) Available() Resources {
-	return Resources{m.CPUs - m.UsedCPUs, m.GPUs - m.UsedGPUs, m.MemoryGB - m.UsedMemoryGB}
+	tasks := workerapi.MaxTasksPerMachine - len(m.Attempts) - m.ExitedTasks
+	return Resources{m.CPUs - m.UsedCPUs, m.GPUs - m.UsedGPUs, m.MemoryGB - m.UsedMemoryGB, tasks}
 }
 
 // TasksThatFit returns how many more tasks of the job fit on the machine.
@@ -64,7 +66,7 @@
 
 // TasksThatFitWhenEmpty returns how many tasks of the job would fit on the machine without other attempts.
 func (m *Machine) TasksThatFitWhenEmpty(job *jobs.Job) int {
-	return Resources{m.CPUs, m.GPUs, m.MemoryGB}.TasksThatFit(job)
+	return Resources{m.CPUs, m.GPUs, m.MemoryGB, workerapi.MaxTasksPerMachine}.TasksThatFit(job)
 }
 
 // IsNewer reports whether the heartbeat is newer than all that were accepted from the machine.
--- a/internal/controller/worker/reconcile.go
+++ b/internal/controller/worker/reconcile.go
@@ -43,6 +43,7 @@
 			continue
 		}
 		if status.State == workerapi.StateExited {
+			machine.ExitedTasks++
 			ended = append(ended, r.reconcileExited(machine, task, status, findJob)...)
 		} else {
 			ended = append(ended, r.reconcileActive(now, machine, task, status, findJob)...)
@@ -66,6 +67,7 @@
 	}
 	machine.Position = heartbeat.Position()
 	machine.Addr, machine.Type, machine.Zone, machine.Spot = heartbeat.Addr, heartbeat.Type, heartbeat.Zone, heartbeat.Spot
+	machine.ExitedTasks = 0
 	if heartbeat.ReclaimInSeconds != nil {
 		r.recordReclaimNotice(now, machine, *heartbeat.ReclaimInSeconds)
 	}
--- a/internal/controller/worker/reconcile_test.go
+++ b/internal/controller/worker/reconcile_test.go
@@ -94,3 +94,32 @@
 		t.Errorf("CPUs used by the team: got %g, want 2", c.registry.TeamUsage("t").CPUs)
 	}
 }
+
+// TestExitedTasksCountUntilForgotten guards against a machine that is sent more tasks than its heartbeat can list, because exited tasks
+// whose results are not durable yet are still listed.
+func TestExitedTasksCountUntilForgotten(t *testing.T) {
+	c := newReconcileTest()
+	c.job.Tasks, c.job.CPUs, c.job.MemoryGB = jobs.MaxTasks, 0, 0
+	const running, exited = 3, 5
+	var tasks []workerapi.TaskStatus
+	for i := range running + exited {
+		status := workerapi.TaskStatus{Task: jobs.TaskID{JobID: "job-1", Index: i}.String(), Attempt: 1, State: workerapi.StateRunning}
+		if i < exited {
+			status.State, status.Reason = workerapi.StateExited, workerapi.ReasonDone
+		}
+		tasks = append(tasks, status)
+	}
+	for _, step := range []struct {
+		tasks []workerapi.TaskStatus
+		want  int
+	}{
+		{tasks, workerapi.MaxTasksPerMachine - running - exited},
+		{tasks[exited:], workerapi.MaxTasksPerMachine - running},
+		{nil, workerapi.MaxTasksPerMachine},
+	} {
+		c.reconcile(c.machine, true, workerapi.Heartbeat{Incarnation: 1, Sequence: c.machine.Sequence + 1, Tasks: step.tasks})
+		if got := c.machine.TasksThatFit(c.job); got != step.want {
+			t.Errorf("tasks that fit with %d listed: got %d, want %d", len(step.tasks), got, step.want)
+		}
+	}
+}
--- a/internal/simulator/network.go
+++ b/internal/simulator/network.go
@@ -7,6 +7,7 @@
 	"gullrudder/internal/controller"
 	"gullrudder/internal/wire/client"
 	"gullrudder/internal/wire/codec"
+	"gullrudder/internal/wire/http1"
 	"gullrudder/internal/wire/server"
 )
 
@@ -151,8 +152,13 @@
 	return false
 }
 
-// deliverHeartbeat delivers an encoded heartbeat to a controller. It returns false if the controller does not run.
+// deliverHeartbeat delivers an encoded heartbeat to a controller, whose server refuses one that is too large. It returns false if the
+// controller does not run.
 func (sim *Cluster) deliverHeartbeat(controller string, heartbeat []byte, respond responder) bool {
+	if len(heartbeat) > http1.MaxBodyBytes {
+		respond(http.StatusRequestEntityTooLarge, nil)
+		return true
+	}
 	return sim.deliverRequest(
 		controllerRequest{controller: controller, method: http.MethodPost, path: "/v1/report", body: heartbeat},
 		respond,
--- a/internal/site/agent/commands.go
+++ b/internal/site/agent/commands.go
@@ -10,10 +10,6 @@
 	"gullrudder/internal/wire/workerapi"
 )
 
-// maxAttempts is the number of attempts from which a worker refuses new ones. A heartbeat lists all attempts, and its body must stay below
-// 64 KiB.
-const maxAttempts = 400
-
 // handleDirectRequest answers a request to the worker's own address and executes its commands. Such a request does not renew the lease.
 func (s *State) handleDirectRequest(now time.Time, request DirectRequest, effects *Effects) {
 	reply := func(status int) {
@@ -66,7 +62,7 @@
 	switch {
 	case !ok || job == "":
 		attempt.setExited(workerapi.ReasonNotFound)
-	case len(s.attempts) >= maxAttempts:
+	case len(s.attempts) >= workerapi.MaxTasksPerMachine:
 		attempt.setExited(workerapi.ReasonNoCapacity)
 	case s.hasActiveAttempt(command.Task):
 		attempt.setExited(workerapi.ReasonInUse)
--- a/internal/wire/workerapi/messages.go
+++ b/internal/wire/workerapi/messages.go
@@ -8,6 +8,10 @@
 // MaxMachineIDBytes bounds the length of a machine ID.
 const MaxMachineIDBytes = 100
 
+// MaxTasksPerMachine bounds the attempts on a machine, including exited ones that it has not been told to forget. A heartbeat lists all of
+// them, and its body may have at most 64 KiB.
+const MaxTasksPerMachine = 400
+
 // Heartbeat is the status that a worker sends to the leader periodically, and in response to direct commands. Incarnation and Sequence
 // order the heartbeats of one worker (see Position). The sequence number counts within an incarnation. A worker begins a new incarnation
 // when its lease has expired.
