placement: count what fits by shape and zone, not job by job, under zone rules

Change: the count of a shape is kept by zone, and a job with zone rules takes from each zone what it allows. A search that found nothing to reserve holds for every job of the shape.

TestShapeFitsMatchScan compares with the scan, now also for jobs of one zone and with active attempts.

--- a/internal/controller/placement/placement_test.go
+++ b/internal/controller/placement/placement_test.go
@@ -62,6 +62,10 @@
 				machines[0].FailedJobs[job.ID] = true
 				job.AvoidedMachines = map[string]time.Time{machines[0].ID: f.Now.Add(jobs.MachineAvoidance)}
 			}
+			job.SingleZone = !job.SpreadAcrossZones && rapid.Bool().Draw(t, "single zone")
+			for task := range rapid.IntRange(0, min(job.Tasks, 3)).Draw(t, "active") { // they do not change what fits on the machines
+				job.AddAttempt(&jobs.Attempt{Task: jobs.TaskID{JobID: job.ID, Index: task}, Zone: "a", Job: job})
+			}
 			maxTasks := rapid.IntRange(1, job.Tasks).Draw(t, "want")
 			got, want := fits.fittingTasks(job, f.order.shapeNumber(job), machines, maxTasks), countFittingTasks(job, machines, maxTasks)
 			if got != want {
--- a/internal/controller/placement/reservations.go
+++ b/internal/controller/placement/reservations.go
@@ -89,7 +89,7 @@
 	if tasks > 0 {
 		tasks -= pass.fits.fittingTasks(job, shapeNumber, pass.unreserved, tasks)
 	}
-	if tasks <= 0 || pass.fits.isExhausted(job, shapeNumber) {
+	if tasks <= 0 || pass.fits.isExhausted(shapeNumber) {
 		return true
 	}
 	remaining := pass.unreserved[:0]
--- a/internal/controller/placement/shapes.go
+++ b/internal/controller/placement/shapes.go
@@ -1,7 +1,6 @@
 package placement
 
 import (
-	"math"
 	"strings"
 
 	"gullrudder/internal/controller/jobs"
@@ -26,10 +25,11 @@
 // machines, and one with zone rules, may fit on fewer.
 func FitsAsShape(job *jobs.Job) bool { return len(job.AvoidedMachines) == 0 && !HasZoneRules(job) }
 
-// representativeOf returns a copy of the job with the maximum number of tasks. Counts for it apply to all jobs of its shape.
+// representativeOf returns a copy of the job with the maximum number of tasks and without zone rules. Counts for it apply to all jobs of its
+// shape, to those with zone rules zone by zone.
 func representativeOf(job *jobs.Job) *jobs.Job {
 	representative := *job
-	representative.Tasks = jobs.MaxTasks
+	representative.Tasks, representative.SingleZone, representative.SpreadAcrossZones = jobs.MaxTasks, false, false
 	return &representative
 }
 
@@ -39,17 +39,16 @@
 
 type shapeFit struct {
 	isCounted   bool
-	tasks       int  // number of tasks that fit on the unreserved machines
-	isExhausted bool // no unreserved machine is left that could be reserved
+	tasksByZone map[string]int // number of tasks that fit on the unreserved machines
+	tasks       int            // sum of tasksByZone
+	isExhausted bool           // no unreserved machine is left that could be reserved
 }
 
 func newShapeFits(shapes int) shapeFits { return make(shapeFits, shapes) }
 
-// isExhausted reports whether an earlier search found no machine to reserve for a job of the same shape. Machines are only
-// removed from the unreserved ones, so none would be found for this job either.
-func (f shapeFits) isExhausted(job *jobs.Job, number int) bool {
-	return FitsAsShape(job) && f[number].isExhausted
-}
+// isExhausted reports whether an earlier search found no machine to reserve for a job of the shape. Machines are only removed from the
+// unreserved ones, and a job that does not fit as its shape fits on fewer, so none would be found for any job of the shape.
+func (f shapeFits) isExhausted(number int) bool { return f[number].isExhausted }
 
 // recordReservation records how many machines were reserved for a job, and how many were removed from the unreserved
 // machines.
@@ -57,7 +56,8 @@
 	for i := range f {
 		f[i].isCounted = f[i].isCounted && removed == 0
 	}
-	if reserved == 0 && FitsAsShape(job) {
+	isRestricted := len(job.AvoidedMachines) > 0 || HasZoneRules(job) && len(job.ActiveAttempts) > 0
+	if reserved == 0 && !isRestricted {
 		f[number].isExhausted = true
 	}
 }
@@ -65,26 +65,52 @@
 // fittingTasks returns how many of the job's tasks, up to maxTasks, fit on the unreserved machines. The machines must be
 // sorted by available CPUs in descending order.
 func (f shapeFits) fittingTasks(job *jobs.Job, number int, machines []*worker.Machine, maxTasks int) int {
-	if !FitsAsShape(job) {
+	if len(job.AvoidedMachines) > 0 {
 		return countFittingTasks(job, machines, maxTasks)
 	}
 	fit := &f[number]
 	if !fit.isCounted {
-		fit.isCounted, fit.tasks = true, countFittingTasks(representativeOf(job), machines, math.MaxInt)
+		fit.count(job, machines)
+	}
+	if !HasZoneRules(job) {
+		return min(fit.tasks, maxTasks)
+	}
+	tasks := 0
+	for zone, fitting := range fit.tasksByZone {
+		tasks += min(fitting, TasksAllowedInZone(job, zone))
 	}
-	return min(fit.tasks, maxTasks)
+	return min(tasks, maxTasks)
+}
+
+// count counts the tasks of the job's shape that fit on the machines.
+func (f *shapeFit) count(job *jobs.Job, machines []*worker.Machine) {
+	f.isCounted, f.tasks, f.tasksByZone = true, 0, map[string]int{}
+	visitFittingTasks(representativeOf(job), machines, func(machine *worker.Machine, tasks int) bool {
+		f.tasks += tasks
+		f.tasksByZone[machine.Zone] += tasks
+		return true
+	})
 }
 
 // countFittingTasks returns the result of fittingTasks without the cache, by a scan of the machines.
 func countFittingTasks(job *jobs.Job, machines []*worker.Machine, maxTasks int) int {
 	tasks, zones := 0, NewZoneAllowance(job)
+	visitFittingTasks(job, machines, func(machine *worker.Machine, fitting int) bool {
+		tasks += zones.Assign(machine.Zone, fitting)
+		return tasks < maxTasks
+	})
+	return min(tasks, maxTasks)
+}
+
+// visitFittingTasks calls visit with the number of tasks that fit on each machine, until visit returns false. The machines must be sorted by
+// available CPUs in descending order.
+func visitFittingTasks(job *jobs.Job, machines []*worker.Machine, visit func(machine *worker.Machine, tasks int) bool) {
 	for _, machine := range machines {
-		if tasks >= maxTasks || job.CPUs > 0 && machine.CPUs-machine.UsedCPUs < job.CPUs-units.ResourceTolerance {
-			break // the remaining machines have fewer available CPUs
+		if job.CPUs > 0 && machine.CPUs-machine.UsedCPUs < job.CPUs-units.ResourceTolerance {
+			return // the remaining machines have fewer available CPUs
 		}
-		if IsEligible(job, machine) {
-			tasks += zones.Assign(machine.Zone, machine.TasksThatFit(job))
+		if IsEligible(job, machine) && !visit(machine, machine.TasksThatFit(job)) {
+			return
 		}
 	}
-	return min(tasks, maxTasks)
 }
