autoscaler: room that replicas of other jobs hold does not become available

What callers saw (in the simulator): a third service, and an array after it, never started although the cloud had machines, while the replicas of the first two filled the machines. Without other work nothing ended that.

Why it works: a task that fits only beside nothing has a missing place, which requests an instance whatever the amount of waiting work.

--- a/internal/controller/autoscaler/projection.go
+++ b/internal/controller/autoscaler/projection.go
@@ -13,7 +13,7 @@
 	totalCPUs        float64
 	machines         []projectedMachine // machines on which a task may still fit
 	byKind           map[cloud.InstanceKind]*kindCapacity
-	avoided          []projectedMachine // machines in byKind that some jobs avoid
+	restricted       []projectedMachine // machines in byKind that some jobs avoid, or on which replicas run
 	smallestTaskCPUs float64            // lowest CPU request of the waiting tasks
 }
 
@@ -81,8 +81,8 @@
 	if machine.HasSentHeartbeat { // otherwise its tasks are unknown, so it counts as full
 		last.available = machine.Available()
 	}
-	if len(machine.FailedJobs) > 0 {
-		p.avoided = append(p.avoided, *last)
+	if len(machine.FailedJobs) > 0 || machine.UsedByServices.Tasks > 0 {
+		p.restricted = append(p.restricted, *last)
 	}
 }
 
@@ -126,55 +126,6 @@
 	return placed
 }
 
-// requiredTasks returns how many tasks of a job must be placed at the same time for it to make progress.
-func requiredTasks(job *jobs.Job) int {
-	if job.IsGang || job.IsService {
-		return job.Tasks
-	}
-	return 1
-}
-
-// taskCapacity returns how many tasks of the job the machines could hold within its zone rules if nothing else ran.
-func (p *capacityProjection) taskCapacity(job *jobs.Job, zones *placement.ZoneAllowance) int {
-	total, largest := 0, 0
-	if !placement.HasZoneRules(job) {
-		p.visitTaskCapacity(job, func(_ string, tasks int) { total += tasks })
-		return total
-	}
-	for zone, capacity := range p.taskCapacityByZone(job) {
-		tasks := min(capacity, zones.AllowedWhenEmpty(zone))
-		total += tasks
-		largest = max(largest, tasks)
-	}
-	if job.SingleZone {
-		return largest
-	}
-	return total
-}
-
-// taskCapacityByZone returns how many tasks of the job the machines of each zone could hold if nothing else ran.
-func (p *capacityProjection) taskCapacityByZone(job *jobs.Job) map[string]int {
-	byZone := map[string]int{}
-	p.visitTaskCapacity(job, func(zone string, tasks int) { byZone[zone] += tasks })
-	return byZone
-}
-
-// visitTaskCapacity calls visit with parts of the number of tasks that the machines of a zone could hold if nothing else ran. The parts of
-// a zone add up to its number. The part of machines that the job avoids is negative.
-func (p *capacityProjection) visitTaskCapacity(job *jobs.Job, visit func(zone string, tasks int)) {
-	for kind, capacity := range p.byKind {
-		if placement.KindAllowed(job, kind) {
-			visit(kind.Zone, capacity.count*capacity.machineResources.TasksThatFit(job))
-		}
-	}
-	for i := range p.avoided {
-		avoided := &p.avoided[i]
-		if placement.KindAllowed(job, avoided.kind) && placement.IsAvoided(job, avoided.machine) {
-			visit(avoided.kind.Zone, -p.byKind[avoided.kind].machineResources.TasksThatFit(job))
-		}
-	}
-}
-
 // availableByZone returns how many more tasks of the job fit on the machines of each zone.
 func (p *capacityProjection) availableByZone(job *jobs.Job) map[string]int {
 	byZone := map[string]int{}
--- a/internal/controller/autoscaler/scaleout.go
+++ b/internal/controller/autoscaler/scaleout.go
@@ -100,8 +100,8 @@
 	job           *jobs.Job
 	unplacedTasks int
 	// missingPlaces is the number of tasks for which instances are requested regardless of the amount of waiting work. These are
-	// the required tasks that would not fit even on an otherwise empty cluster. For a guaranteed job that must not use spot
-	// instances they are at least all unplaced tasks.
+	// the required tasks that would not fit even on a cluster on which only replicas of other jobs run. For a guaranteed job that
+	// must not use spot instances they are at least all unplaced tasks.
 	missingPlaces int
 	zones         placement.ZoneAllowance
 }
--- a/internal/controller/placement/shapes.go
+++ b/internal/controller/placement/shapes.go
@@ -25,8 +25,8 @@
 // machines, and one with zone rules, may fit on fewer.
 func FitsAsShape(job *jobs.Job) bool { return len(job.AvoidedMachines) == 0 && !HasZoneRules(job) }
 
-// representativeOf returns a copy of the job with the maximum number of tasks and without zone rules. Counts for it apply to all jobs of its
-// shape, to those with zone rules zone by zone.
+// representativeOf returns a copy of the job with the maximum number of tasks and without zone rules. Counts for it apply to all jobs of
+// its shape, to those with zone rules zone by zone.
 func representativeOf(job *jobs.Job) *jobs.Job {
 	representative := *job
 	representative.Tasks, representative.SingleZone, representative.SpreadAcrossZones = jobs.MaxTasks, false, false
@@ -102,8 +102,8 @@
 	return min(tasks, maxTasks)
 }
 
-// visitFittingTasks calls visit with the number of tasks that fit on each machine, until visit returns false. The machines must be sorted by
-// available CPUs in descending order.
+// visitFittingTasks calls visit with the number of tasks that fit on each machine, until visit returns false. The machines must be sorted
+// by available CPUs in descending order.
 func visitFittingTasks(job *jobs.Job, machines []*worker.Machine, visit func(machine *worker.Machine, tasks int) bool) {
 	for _, machine := range machines {
 		if job.CPUs > 0 && machine.CPUs-machine.UsedCPUs < job.CPUs-units.ResourceTolerance {
--- a/internal/controller/worker/machine.go
+++ b/internal/controller/worker/machine.go
@@ -15,6 +15,7 @@
 
 	CPUs, GPUs, MemoryGB             float64 // capacity, 0 until the type is known
 	UsedCPUs, UsedGPUs, UsedMemoryGB float64
+	UsedByServices                   Resources // the part of the used resources that replicas hold until their job is cancelled
 
 	Attempts    map[jobs.TaskID]*jobs.Attempt // attempts that may be on the machine
 	ExitedTasks int                           // exited attempts in the newest heartbeat; the worker lists them until it forgets them
@@ -81,6 +82,9 @@
 		m.UsedCPUs += attempt.Job.CPUs
 		m.UsedGPUs += attempt.Job.GPUs
 		m.UsedMemoryGB += attempt.Job.MemoryGB
+		if attempt.Job.IsService {
+			m.UsedByServices = m.UsedByServices.AfterPlacing(attempt.Job, -1)
+		}
 	}
 }
 
@@ -93,8 +97,11 @@
 		m.UsedCPUs -= attempt.Job.CPUs
 		m.UsedGPUs -= attempt.Job.GPUs
 		m.UsedMemoryGB -= attempt.Job.MemoryGB
+		if attempt.Job.IsService {
+			m.UsedByServices = m.UsedByServices.AfterPlacing(attempt.Job, 1)
+		}
 	}
 	if len(m.Attempts) == 0 { // discard accumulated rounding errors
-		m.UsedCPUs, m.UsedGPUs, m.UsedMemoryGB = 0, 0, 0
+		m.UsedCPUs, m.UsedGPUs, m.UsedMemoryGB, m.UsedByServices = 0, 0, 0, Resources{}
 	}
 }
--- a/internal/controller/worker/resources.go
+++ b/internal/controller/worker/resources.go
@@ -32,5 +32,10 @@
 	return Resources{r.CPUs - count*job.CPUs, r.GPUs - count*job.GPUs, r.MemoryGB - count*job.MemoryGB, r.Tasks - tasks}
 }
 
+// Minus returns the resources without those in use.
+func (r Resources) Minus(used Resources) Resources {
+	return Resources{r.CPUs - used.CPUs, r.GPUs - used.GPUs, r.MemoryGB - used.MemoryGB, r.Tasks - used.Tasks}
+}
+
 // Usage is the resources that a team's attempts use. It includes attempts that may have ended already.
 type Usage struct{ CPUs, GPUs float64 }
--- a/internal/simulator/replicas_test.go
+++ b/internal/simulator/replicas_test.go
@@ -82,3 +82,39 @@
 	other.Zone = map[string]string{"a": "b", "b": "a"}[zone]
 	sim.Users.SubmitJob(other, serviceRunTime)
 }
+
+// TestTasksBehindReplicasRun guards against jobs that wait without end although the cloud has machines, because the room that replicas of
+// another service occupy counts as room for them.
+func TestTasksBehindReplicasRun(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(3) {
+		t.Run(seedName(seed), func(t *testing.T) {
+			sim := pipelineCluster(t, seed)
+			submit := func(jobID string, tasks int, isService bool) {
+				const runTime = time.Second
+				spec := jobArray(jobID, "c", noTeam, tasks, runTime)
+				spec.CPUs, spec.MachineTypes = 4, []string{"large"} // which holds four tasks
+				if isService {
+					spec.IsService, spec.RunTimeEstimate = true, 0
+					sim.Users.SubmitJob(spec, serviceRunTime)
+					return
+				}
+				sim.Users.SubmitJob(spec, runTime)
+			}
+			submit("job-000001", 4, true)
+			sim.Run(30 * time.Second)
+			submit("job-000002", 4, true)
+			sim.Run(maxStartableWait)
+			submit("job-000003", 4, true)
+			sim.Run(maxStartableWait)
+			submit("job-000004", 1, false)
+			sim.Run(maxStartableWait)
+			expectNoViolations(t, sim.Cluster)
+			for _, jobID := range []string{"job-000002", "job-000003", "job-000004"} {
+				if sim.checker.jobs[jobID].firstStartedAt.IsZero() {
+					t.Errorf("%s behind the replicas of other jobs: got not started, want started", jobID)
+				}
+			}
+		})
+	}
+}
