placement: do not reserve machines for room that replicas of services hold

What callers saw (in a test): a machine with room on which nothing started, since it was reserved for a job that will never fit there: the replicas on it do not end.

Change: it compares with the machine beside its replicas; so does the reservation for gangs.

Measured: TestNoReservationForRoomOfServices failed before (0 starts, 2 possible) and passes now.

--- a/internal/controller/placement/reservations.go
+++ b/internal/controller/placement/reservations.go
@@ -109,13 +109,13 @@
 }
 
 // isReservable reports whether the machine can be reserved for a task of the job: it is eligible and not reserved yet, its zone is allowed,
-// it is too full for a task now, and it has enough CPUs and memory for one when empty.
+// it is too full for a task now, and a task will fit once the other tasks have ended, except for the replicas of services.
 func isReservable(machine *worker.Machine, job *jobs.Job) bool {
 	return machine.ReservedFor == nil && IsEligible(job, machine) && machine.TasksThatFit(job) == 0 &&
-		TasksAllowedInZone(job, machine.Zone) > 0 && machine.CPUs >= job.CPUs && machine.MemoryGB >= job.MemoryGB
+		TasksAllowedInZone(job, machine.Zone) > 0 && machine.TasksThatFitBesideServices(job) > 0
 }
 
-// reserveForGang reserves machines for a waiting gang by the number of tasks that they hold when empty. It returns the
+// reserveForGang reserves machines for a waiting gang by the number of tasks that they hold beside services. It returns the
 // number of tasks that the reserved machines hold.
 func (p *Placer) reserveForGang(job *jobs.Job, machines []*worker.Machine, tasks int) int {
 	covered := 0
@@ -126,7 +126,7 @@
 		if machine.ReservedFor != nil || !IsEligible(job, machine) {
 			continue
 		}
-		if fitting := machine.TasksThatFitWhenEmpty(job); fitting > 0 {
+		if fitting := machine.TasksThatFitBesideServices(job); fitting > 0 {
 			p.reservations.reserve(machine, job)
 			covered += fitting
 		}
--- a/internal/controller/placement/reservations_test.go
+++ b/internal/controller/placement/reservations_test.go
@@ -82,3 +82,24 @@
 	f.newAttempt(f.Now, machine, job, job.TakeNextTask(), f.nextAttemptNumber())
 	f.InvalidateOrder()
 }
+
+// TestNoReservationForRoomOfServices guards against a machine with room on which nothing starts, because it is reserved for a job that will
+// never fit: the replicas on the machine do not end.
+func TestNoReservationForRoomOfServices(t *testing.T) {
+	f := newFixture()
+	machine := f.AddMachine(0, "large", "a", true)
+	service := f.addJob(2, 11, 1)
+	service.IsService, service.ImageGB = true, 1
+	f.StartTasks(f.Now, machine, 300)
+	large := f.addJob(7, 1, 8) // guaranteed
+	large.SpreadAcrossZones, large.ImageGB = false, 1
+	small := f.addJob(0, 2, 1)
+	small.Team, small.AllowsSpot, small.ImageGB = "without quota", true, 1
+	f.Now = f.Now.Add(time.Second)
+	f.SendHeartbeat(machine)
+	f.InvalidateOrder()
+	commands := f.StartTasks(f.Now, machine, 300)
+	if len(commands) != 2 || machine.ReservedFor == large {
+		t.Errorf("starts of the small job: got %d, machine reserved %v, want 2, false", len(commands), machine.ReservedFor == large)
+	}
+}
--- a/internal/controller/worker/machine.go
+++ b/internal/controller/worker/machine.go
@@ -70,6 +70,11 @@
 	return Resources{m.CPUs, m.GPUs, m.MemoryGB, workerapi.MaxTasksPerMachine}.TasksThatFit(job)
 }
 
+// TasksThatFitBesideServices returns how many tasks of the job would fit on the machine if only the replicas on it stayed.
+func (m *Machine) TasksThatFitBesideServices(job *jobs.Job) int {
+	return Resources{m.CPUs, m.GPUs, m.MemoryGB, workerapi.MaxTasksPerMachine}.Minus(m.UsedByServices).TasksThatFit(job)
+}
+
 // IsNewer reports whether the heartbeat is newer than all that were accepted from the machine.
 func (m *Machine) IsNewer(heartbeat *workerapi.Heartbeat) bool {
 	return !m.HasSentHeartbeat || heartbeat.Position().IsAfter(m.Position)
