accounting: room that replicas of services hold is no room in the queue

What callers saw (in a test): the account said "behind others in the order" of a job whose only machine was held by replicas, which do not end, so the account could not show that no machine would become available.

Change: it compares with the machine beside its replicas, as reservations do.

Measured: TestRoomOfReplicasIsNoQueue failed before and passes now.

--- a/internal/controller/accounting/availability.go
+++ b/internal/controller/accounting/availability.go
@@ -32,7 +32,7 @@
 	found := availability{reservedFor: map[*jobs.Job]bool{}}
 	for _, machine := range s.machines {
 		if !placement.IsEligible(job, machine) || placement.TasksAllowedInZone(job, machine.Zone) == 0 ||
-			machine.TasksThatFitWhenEmpty(job) == 0 {
+			machine.TasksThatFitBesideServices(job) == 0 {
 			continue
 		}
 		found.hasUsable = true
--- a/internal/controller/accounting/tracker_test.go
+++ b/internal/controller/accounting/tracker_test.go
@@ -295,3 +295,20 @@
 	r.expect(NoUsableMachine, func() { r.Cloud.ObserveHeartbeat(r.now, "vm-2", "", cloud.InstanceKind{Type: "small", Zone: "a"}) })
 	r.expect(MachineBooting, func() { r.Cloud.ObserveHeartbeat(r.now, "vm-3", "", cloud.InstanceKind{Type: "small", Zone: "b"}) })
 }
+
+// TestRoomOfReplicasIsNoQueue guards against an account that says of a job that it waits behind others, although the replicas that hold the
+// only machine do not end.
+func TestRoomOfReplicasIsNoQueue(t *testing.T) {
+	r := &reasonTest{cluster: newCluster(), t: t, tracker: newTracker()}
+	r.job = newJob(1, 1, r.now)
+	r.job.CPUs = 2
+	r.tracker.Open(r.job)
+	r.expect(Queued, func() { r.startTask(r.addMachine(1), newJob(2, 1, r.now)) })
+	service := newJob(3, 1, r.now)
+	service.IsService = true
+	r.expect(NoUsableMachine, func() {
+		machine := r.Workers.Machines["vm-1"]
+		r.Workers.ReleaseAll(machine)
+		r.startTask(machine, service)
+	})
+}
--- a/internal/controller/worker/machine.go
+++ b/internal/controller/worker/machine.go
@@ -65,11 +65,6 @@
 // TasksThatFit returns how many more tasks of the job fit on the machine.
 func (m *Machine) TasksThatFit(job *jobs.Job) int { return m.Available().TasksThatFit(job) }
 
-// TasksThatFitWhenEmpty returns how many tasks of the job would fit on the machine without other attempts.
-func (m *Machine) TasksThatFitWhenEmpty(job *jobs.Job) int {
-	return Resources{m.CPUs, m.GPUs, m.MemoryGB, workerapi.MaxTasksPerMachine}.TasksThatFit(job)
-}
-
 // TasksThatFitBesideServices returns how many tasks of the job would fit on the machine if only the replicas on it stayed.
 func (m *Machine) TasksThatFitBesideServices(job *jobs.Job) int {
 	return Resources{m.CPUs, m.GPUs, m.MemoryGB, workerapi.MaxTasksPerMachine}.Minus(m.UsedByServices).TasksThatFit(job)
