--- a/internal/simulator/replicas_test.go
+++ b/internal/simulator/replicas_test.go
@@ -7,6 +7,13 @@
 	"gullrudder/internal/controller/jobs"
 )
 
+// serviceOf returns a service whose replicas need one CPU and 1 GB and run on any machine.
+func serviceOf(jobID string, replicas int) jobs.Spec {
+	service := jobArray(jobID, "c", noTeam, replicas, 0)
+	service.IsService = true
+	return service
+}
+
 // expectInBothZones fails the test and ends it unless two tasks of the job run in each zone.
 func (sim *Cluster) expectInBothZones(t *testing.T, spec jobs.Spec, when string) {
 	t.Helper()
@@ -22,8 +29,8 @@
 	for seed := range uint64(3) {
 		t.Run(seedName(seed), func(t *testing.T) {
 			sim := pipelineCluster(t, seed)
-			service := jobArray("job-000001", "c", noTeam, 4, serviceRunTime)
-			service.IsService, service.SpreadAcrossZones, service.RunTimeEstimate = true, true, 0
+			service := serviceOf("job-000001", 4)
+			service.SpreadAcrossZones = true
 			sim.Users.SubmitJob(service, serviceRunTime)
 			sim.Run(30 * time.Second)
 			sim.expectInBothZones(t, service, "at the start")
@@ -46,9 +53,8 @@
 	for seed := range uint64(3) {
 		t.Run(seedName(seed), func(t *testing.T) {
 			sim := pipelineCluster(t, seed)
-			service := jobArray("job-000001", "c", noTeam, 4, serviceRunTime)
-			service.IsService, service.SingleZone, service.CPUs, service.RunTimeEstimate = true, true, 2, 0
-			service.MachineTypes = []string{"small"}
+			service := serviceOf("job-000001", 4)
+			service.SingleZone, service.CPUs, service.MachineTypes = true, 2, []string{"small"}
 			sim.Users.SubmitJob(service, serviceRunTime)
 			sim.Run(30 * time.Second)
 			lost := sim.machinesWithTasks()[0]
@@ -77,8 +83,8 @@
 
 // keepRoomOutside submits a service of one small task in the other zone, so that a machine with room stays there.
 func (sim *Cluster) keepRoomOutside(zone string) {
-	other := jobArray("job-000002", "c", noTeam, 1, serviceRunTime)
-	other.IsService, other.RunTimeEstimate, other.MachineTypes = true, 0, []string{"small"}
+	other := serviceOf("job-000002", 1)
+	other.MachineTypes = []string{"small"}
 	other.Zone = map[string]string{"a": "b", "b": "a"}[zone]
 	sim.Users.SubmitJob(other, serviceRunTime)
 }
@@ -90,24 +96,17 @@
 	for seed := range uint64(3) {
 		t.Run(seedName(seed), func(t *testing.T) {
 			sim := pipelineCluster(t, seed)
-			submit := func(jobID string, tasks int, isService bool) {
-				const runTime = time.Second
-				spec := jobArray(jobID, "c", noTeam, tasks, runTime)
+			onLarge := func(spec jobs.Spec, runTime time.Duration) {
 				spec.CPUs, spec.MachineTypes = 4, []string{"large"} // which holds four tasks
-				if isService {
-					spec.IsService, spec.RunTimeEstimate = true, 0
-					sim.Users.SubmitJob(spec, serviceRunTime)
-					return
-				}
 				sim.Users.SubmitJob(spec, runTime)
 			}
-			submit("job-000001", 4, true)
+			onLarge(serviceOf("job-000001", 4), serviceRunTime)
 			sim.Run(30 * time.Second)
-			submit("job-000002", 4, true)
+			onLarge(serviceOf("job-000002", 4), serviceRunTime)
 			sim.Run(maxStartableWait)
-			submit("job-000003", 4, true)
+			onLarge(serviceOf("job-000003", 4), serviceRunTime)
 			sim.Run(maxStartableWait)
-			submit("job-000004", 1, false)
+			onLarge(jobArray("job-000004", "c", noTeam, 1, time.Second), time.Second)
 			sim.Run(maxStartableWait)
 			expectNoViolations(t, sim.Cluster)
 			for _, jobID := range []string{"job-000002", "job-000003", "job-000004"} {
