api: log and count refused submissions by field, value and reason

Cause: only a refusal with 422 was logged. A submission that got 400 left no trace, on the leader or elsewhere, so the records of the incident cannot tell which field was refused.

Change: every refusal because of the content of a submission is logged as "job refused" with job, status, field, value and reason, at most one line a second with the number of refusals since the last one, and counted in gullrudder_submissions_refused_total{status,field,reason}. A ValidationError names the field, the value and a constant reason.

--- a/internal/controller/api/dependencies.go
+++ b/internal/controller/api/dependencies.go
@@ -7,7 +7,6 @@
 
 	"gullrudder/internal/controller/jobs"
 	"gullrudder/internal/controller/jobstore"
-	"gullrudder/internal/wire/server"
 )
 
 // dependencyCheck is the result of looking up the dependencies of a submission.
@@ -35,22 +34,27 @@
 			h.lookUpDependency(now, submitted, id)
 			return dependencyCheck{}, false
 		default:
-			h.refuseDependency(submitted.request, id, state)
+			h.refuseDependency(now, submitted, id, state)
 			return dependencyCheck{}, false
 		}
 	}
 	return check, true
 }
 
-func (h *submissionHandler) refuseDependency(request *server.Request, jobID string, state jobstore.DependencyState) {
+func (h *submissionHandler) refuseDependency(
+	now time.Time, submitted jobSubmission, dependencyID string, state jobstore.DependencyState,
+) {
+	refused := refusal{status: http.StatusUnprocessableEntity, field: jobs.FieldDependencies, value: dependencyID}
 	switch state {
 	case jobstore.DependencyUndecided:
-		h.responder.RespondError(request, http.StatusServiceUnavailable, textDependencyUndecided, retryDelay)
+		h.responder.RespondError(submitted.request, http.StatusServiceUnavailable, textDependencyUndecided, retryDelay)
+		return
 	case jobstore.DependencyService:
-		h.responder.RespondError(request, http.StatusUnprocessableEntity, "needs "+jobID+", a service, which is never done", 0)
+		refused.reason, refused.text = reasonDependencyIsService, "needs "+dependencyID+", a service, which is never done"
 	default:
-		h.responder.RespondError(request, http.StatusUnprocessableEntity, "needs "+jobID+", which was never accepted", 0)
+		refused.reason, refused.text = reasonDependencyNotKnown, "needs "+dependencyID+", which was never accepted"
 	}
+	h.refuser.refuse(now, submitted.request, submitted.spec.ID, refused)
 }
 
 // lookUpDependency reads the final state of a dependency from the archive's data and then serves the submission again.
--- a/internal/controller/api/handler.go
+++ b/internal/controller/api/handler.go
@@ -73,6 +73,7 @@
 	Stores     Stores
 	Queueing   Queueing
 	Machines   Machines
+	Metrics    *Metrics
 	Responder  *server.Responder
 	Outbox     *client.Outbox
 	Log        *slog.Logger
@@ -116,6 +117,7 @@
 			jobStore: c.Stores.Jobs, cloud: c.Machines.Cloud, estimator: c.Queueing.Estimator, ranker: c.Queueing.Ranker,
 		},
 		limiter: submission.New(int(maxPendingSeconds*submissionsPerSecond), submissionsPerSecond),
+		refuser: newRefuser(c.Responder, c.Metrics, c.Log),
 	}
 }
 
--- a/internal/controller/api/submission.go
+++ b/internal/controller/api/submission.go
@@ -1,7 +1,6 @@
 package api
 
 import (
-	"errors"
 	"net/http"
 	"time"
 
@@ -31,6 +30,7 @@
 	autoscaler *autoscaler.Scaler
 	bounds     *startBounds
 	limiter    *submission.Limiter // bounds the submissions that are not durable yet
+	refuser    *refuser
 }
 
 // jobSubmission is a submission that is being served.
@@ -114,9 +114,7 @@
 // checked or saved now.
 func (h *submissionHandler) validate(now time.Time, submitted jobSubmission) (*jobs.Job, bool) {
 	request := submitted.request
-	var invalid *jobs.ValidationError
-	if errors.As(submitted.invalid, &invalid) {
-		h.responder.RespondError(request, invalid.Status, invalid.Reason, 0)
+	if h.refuseInvalid(now, submitted) {
 		return nil, false
 	}
 	if len(h.cloud.MachineTypes) == 0 {
@@ -125,8 +123,7 @@
 	}
 	job := jobs.New(submitted.spec, now)
 	if reason := h.unsatisfiableReason(job); reason != "" {
-		h.log.Info("job refused", logkeys.Job, job.ID, logkeys.Reason, reason)
-		h.responder.RespondError(request, http.StatusUnprocessableEntity, reason, 0)
+		h.refuser.refuse(now, request, job.ID, unsatisfiable(reason))
 		return nil, false
 	}
 	if !h.storage.IsHealthy() {
@@ -140,10 +137,10 @@
 func (h *submissionHandler) unsatisfiableReason(job *jobs.Job) string {
 	team, ok := h.teams[job.Team]
 	if len(h.teams) > 0 && !ok {
-		return "unknown team"
+		return reasonUnknownTeam
 	}
 	if placement.ExceedsQuota(job, team) {
-		return "needs more than its team's limit"
+		return reasonExceedsQuota
 	}
 	for _, machineType := range h.cloud.MachineTypes {
 		for _, zone := range machineType.Zones {
@@ -153,7 +150,7 @@
 			}
 		}
 	}
-	return "a task fits no allowed machine type"
+	return reasonFitsNoType
 }
 
 // plan decides whether the job is guaranteed, and sets its start bounds. It adds the dependencies to the graph first, since they are
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -14,6 +14,7 @@
 
 	"gullrudder/internal/config"
 	"gullrudder/internal/controller/accounting"
+	"gullrudder/internal/controller/api"
 	"gullrudder/internal/controller/election"
 	"gullrudder/internal/controller/election/renewal"
 	"gullrudder/internal/controller/worker"
@@ -54,6 +55,7 @@
 // metrics are the metrics of the process. The counters are not reset when a leadership ends.
 type metrics struct {
 	registry     *prometheus.Registry
+	api          *api.Metrics
 	accounting   *accounting.Metrics
 	reachability *reachability.Metrics
 }
@@ -70,6 +72,7 @@
 		responder: server.Responder{Log: log},
 		metrics: metrics{
 			registry:     registry,
+			api:          api.NewMetrics(registry),
 			accounting:   accounting.NewMetrics(registry),
 			reachability: reachability.NewMetrics(registry),
 		},
--- a/internal/controller/jobs/fields.go
+++ b/internal/controller/jobs/fields.go
@@ -1,7 +1,6 @@
 package jobs
 
 import (
-	"fmt"
 	"math"
 	"net/http"
 	"time"
@@ -15,19 +14,6 @@
 	maxDuration  = 365 * 24 * time.Hour
 )
 
-// ValidationError is the error for a submission that is refused. Users see the reason.
-type ValidationError struct {
-	Status int // HTTP status of the response
-	Reason string
-}
-
-// Error returns Reason.
-func (e *ValidationError) Error() string { return e.Reason }
-
-func newValidationError(format string, args ...any) error {
-	return &ValidationError{http.StatusBadRequest, fmt.Sprintf(format, args...)}
-}
-
 // fieldReader reads the fields of a submission. It keeps the first error. The read methods go on after an error, so that the
 // caller checks err only once, at the end.
 type fieldReader struct {
@@ -37,7 +23,7 @@
 
 func (f *fieldReader) reject(name, reason string) {
 	if f.err == nil {
-		f.err = newValidationError("field %s: %s", name, reason)
+		f.err = &ValidationError{Status: http.StatusBadRequest, Field: name, Value: describeValue(f.values[name]), Reason: reason}
 	}
 }
 
--- a/internal/controller/jobs/parse.go
+++ b/internal/controller/jobs/parse.go
@@ -16,7 +16,7 @@
 func ParseSpec(body []byte) (Spec, error) {
 	values, err := codec.UnmarshalMap(body)
 	if err != nil {
-		return Spec{}, newValidationError("%v", err)
+		return Spec{}, newBodyError(err)
 	}
 	fields := &fieldReader{values: values}
 	spec := Spec{
@@ -51,8 +51,8 @@
 	if !f.isNull("keels") {
 		spec.MachineTypes = f.readMachineTypes("keels")
 	}
-	if !f.isNull("tows") {
-		spec.Dependencies = f.readDependencies("tows")
+	if !f.isNull(FieldDependencies) {
+		spec.Dependencies = f.readDependencies(FieldDependencies)
 	}
 	if !f.isNull("landfall_s") {
 		if spec.Deadline = f.readDuration("landfall_s"); spec.Deadline == 0 {
--- a/internal/controller/leadership.go
+++ b/internal/controller/leadership.go
@@ -248,6 +248,7 @@
 			Failures:   leader.failures,
 			Zones:      leader.zones,
 		},
+		Metrics:   c.metrics.api,
 		Responder: &c.responder,
 		Outbox:    &c.outbox,
 		Log:       c.log,
--- a/internal/logkeys/logkeys.go
+++ b/internal/logkeys/logkeys.go
@@ -54,6 +54,8 @@
 	State           = "state"            // state entered
 	PreviousState   = "previous_state"   // state before
 	Status          = "status"           // HTTP status code
+	Field           = "field"            // name of a field of a request
+	Value           = "value"            // value of a field, shortened
 	Label           = "label"            // guaranteed or best effort
 	Slowdown        = "slowdown"         // run time of a straggler's tasks relative to other machines
 	Created         = "created"          // number of instances that the cloud created
--- a/internal/wire/http1/server.go
+++ b/internal/wire/http1/server.go
@@ -67,7 +67,7 @@
 
 // NewServer returns a server that is started with Run or RunWithRestart.
 func NewServer(options ServerOptions) *Server {
-	return &Server{options: options, conns: map[*conn]struct{}{}, refusals: refusalLog{log: options.Log}}
+	return &Server{options: options, conns: map[*conn]struct{}{}, refusals: newRefusalLog(options.Log)}
 }
 
 // Run serves until the listeners fail. It always returns an error.
