--- a/internal/loglimit/loglimit_test.go
+++ b/internal/loglimit/loglimit_test.go
@@ -13,7 +13,9 @@
 		after time.Duration
 		count int
 		ok    bool
-	}{{0, 1, true}, {100 * time.Millisecond, 0, false}, {900 * time.Millisecond, 0, false}, {time.Second, 3, true}, {5 * time.Second, 1, true}} {
+	}{
+		{0, 1, true}, {100 * time.Millisecond, 0, false}, {900 * time.Millisecond, 0, false}, {time.Second, 3, true}, {5 * time.Second, 1, true},
+	} {
 		if count, ok := limiter.Allow(begin.Add(event.after)); count != event.count || ok != event.ok {
 			t.Errorf("event after %v: got count %d, allowed %v, want %d, %v", event.after, count, ok, event.count, event.ok)
 		}
