jobs: accept every amount, name and unknown field that the protocol allows

The check for an estimate of zero read the converted duration, in which 1e-60 s is 0 ns.

Change: the nearest value with the same meaning is held, between 1e-9 and 1e12, and 1 us and a year. Names above 200 bytes become digests, of long lists of types those on offer are held; a record that still does not fit gets 503. Values beyond the decoder's depth are decoded as null, in submissions and heartbeats; the scan of a body uses no recursion.

The simulator's users spell every submission at random, some have amounts close to zero, and a 400 breaks sound_refused.

--- a/internal/controller/api/refusals.go
+++ b/internal/controller/api/refusals.go
@@ -20,21 +20,23 @@
 
 // Reasons of refusals that do not concern a single field. They are values of the label reason and part of the responses to users.
 const (
-	reasonUnknownTeam          = "unknown team"
-	reasonExceedsQuota         = "needs more than its team's limit"
-	reasonFitsNoType           = "a task fits no allowed machine type"
-	reasonDependencyIsService  = "needs a service, which is never done"
-	reasonDependencyNotKnown   = "needs a job which was never accepted"
-	reasonRecordExceedsStorage = "the state service takes no value of this size at present"
+	reasonUnknownTeam         = "unknown team"
+	reasonExceedsQuota        = "needs more than its team's limit"
+	reasonFitsNoType          = "a task fits no allowed machine type"
+	reasonDependencyIsService = "needs a service, which is never done"
+	reasonDependencyNotKnown  = "needs a job which was never accepted"
+	reasonRecordTooLarge      = "the state service takes no value of this size at present"
 )
 
-// refusal states why a submission is refused for good.
+// refusal states why a submission is refused.
 type refusal struct {
 	status int
 	field  string // name of the field; empty: none in particular
 	value  string // of the field, shortened
 	reason string // constant text, the label of the metric
 	text   string // of the response
+
+	retryAfter time.Duration // 0: the refusal is final
 }
 
 // invalidSubmission returns the refusal of a submission that cannot be read or has an invalid field.
@@ -49,7 +51,8 @@
 	return refusal{status: http.StatusUnprocessableEntity, reason: reason, text: reason}
 }
 
-// Metrics counts the submissions that a controller refuses for good while it leads. The counters are not reset when a leadership ends.
+// Metrics counts the submissions that a controller refuses because of their content while it leads. The counters are not reset when a
+// leadership ends.
 type Metrics struct {
 	refusals *prometheus.CounterVec
 }
@@ -59,14 +62,14 @@
 	metrics := &Metrics{
 		refusals: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Namespace: "gullrudder", Name: "submissions_refused_total",
-			Help: "Submissions refused for good while this controller led, by status, field and reason.",
+			Help: "Submissions refused because of their content while this controller led, by status, field and reason.",
 		}, []string{"status", "field", "reason"}),
 	}
 	registry.MustRegister(metrics.refusals)
 	return metrics
 }
 
-// refuser refuses submissions for good. It counts and logs them.
+// refuser refuses submissions. It counts and logs them.
 type refuser struct {
 	responder *server.Responder
 	metrics   *Metrics
@@ -86,7 +89,7 @@
 			logkeys.Job, jobs.Shorten(jobID), logkeys.Status, refused.status, logkeys.Field, refused.field,
 			logkeys.Value, refused.value, logkeys.Reason, refused.reason, logkeys.Count, count)
 	}
-	r.responder.RespondError(request, refused.status, refused.text, 0)
+	r.responder.RespondError(request, refused.status, refused.text, refused.retryAfter)
 }
 
 // refuseInvalid refuses a submission that is invalid. It returns false if it is valid.
--- a/internal/controller/api/submission.go
+++ b/internal/controller/api/submission.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"time"
 
 	"gullrudder/internal/config"
@@ -104,7 +105,9 @@
 	if err != nil {
 		h.limiter.Release(job.Team)
 		h.jobStore.DependencyGraph().Remove(job)
-		h.responder.RespondError(request, http.StatusBadRequest, "too large to be kept", 0)
+		h.refuser.refuse(now, request, job.ID, refusal{
+			status: http.StatusServiceUnavailable, reason: reasonRecordTooLarge, text: reasonRecordTooLarge, retryAfter: unsavedRetryDelay,
+		})
 		return
 	}
 	h.jobStore.Add(job)
@@ -121,7 +124,7 @@
 		h.responder.RespondError(request, http.StatusServiceUnavailable, "the machine types are not known yet", retryDelay)
 		return nil, false
 	}
-	job := jobs.New(submitted.spec, now)
+	job := jobs.New(h.compact(submitted.spec), now)
 	if reason := h.unsatisfiableReason(job); reason != "" {
 		h.refuser.refuse(now, request, job.ID, unsatisfiable(reason))
 		return nil, false
@@ -133,6 +136,18 @@
 	return job, true
 }
 
+// compact returns the spec in the form that is stored. If no type of the spec is offered, the types stay as they are.
+func (h *submissionHandler) compact(spec jobs.Spec) jobs.Spec {
+	if _, ok := h.teams[spec.Team]; !ok {
+		spec.Team = jobs.CompactName(spec.Team)
+	}
+	isOffered := func(machineType string) bool { return h.cloud.MachineTypes[machineType] != nil }
+	if !slices.ContainsFunc(spec.MachineTypes, isOffered) {
+		isOffered = func(string) bool { return true }
+	}
+	return spec.Compact(isOffered)
+}
+
 // unsatisfiableReason returns why a job can never run. It returns an empty string if it can.
 func (h *submissionHandler) unsatisfiableReason(job *jobs.Job) string {
 	team, ok := h.teams[job.Team]
--- a/internal/controller/dependencies/graph.go
+++ b/internal/controller/dependencies/graph.go
@@ -19,6 +19,7 @@
 	"time"
 
 	"gullrudder/internal/controller/jobs"
+	"gullrudder/internal/units"
 )
 
 // TaskRunTime returns the estimated run time of one task of the job.
@@ -146,7 +147,7 @@
 		return latest
 	}
 	for _, ancestor := range slices.Backward(ancestors) { // dependencies before their dependents
-		finishTimes[ancestor] = earliestStart(ancestor) + runTime(ancestor)
+		finishTimes[ancestor] = units.Add(earliestStart(ancestor), runTime(ancestor))
 	}
 	return earliestStart(job), ancestors
 }
--- a/internal/controller/heartbeat/handler.go
+++ b/internal/controller/heartbeat/handler.go
@@ -147,7 +147,7 @@
 
 func decodeHeartbeat(body []byte) (heartbeat *workerapi.Heartbeat, ok bool) {
 	heartbeat = &workerapi.Heartbeat{}
-	if codec.Unmarshal(body, heartbeat) != nil {
+	if codec.UnmarshalKnownFields(body, heartbeat) != nil {
 		return nil, false
 	}
 	hasValidID := heartbeat.Machine != "" && len(heartbeat.Machine) <= workerapi.MaxMachineIDBytes
--- a/internal/controller/jobs/fields.go
+++ b/internal/controller/jobs/fields.go
@@ -8,10 +8,12 @@
 	"gullrudder/internal/units"
 )
 
+// Bounds of the values that the controllers hold. A submission beyond them is accepted, and the nearest value is held.
 const (
-	maxTextBytes = 200 // the text of the validation error names this limit
-	maxAmount    = 1e12
-	maxDuration  = 365 * 24 * time.Hour
+	minAmount   = 1e-9 // of an amount above 0
+	maxAmount   = 1e12
+	minDuration = time.Microsecond // of a duration above 0
+	maxDuration = 365 * 24 * time.Hour
 )
 
 // fieldReader reads the fields of a submission. It keeps the first error. The read methods go on after an error, so that the
@@ -29,10 +31,11 @@
 
 func (f *fieldReader) isNull(name string) bool { return f.values[name] == nil }
 
-func (f *fieldReader) readString(name string) string {
+// readText reads a text that is not empty.
+func (f *fieldReader) readText(name string) string {
 	text, ok := f.values[name].(string)
-	if !ok || text == "" || len(text) > maxTextBytes {
-		f.reject(name, "not a text of 1 to 200 bytes")
+	if !ok || text == "" {
+		f.reject(name, "not a text, or empty")
 	}
 	return text
 }
@@ -45,33 +48,41 @@
 	return flag
 }
 
-// readAmount reads a number that is not negative. Users may send it as an integer or as a floating-point number.
-func (f *fieldReader) readAmount(name string) float64 {
-	var amount float64
+// readNumber reads a number that is not negative. Users may send it as an integer or as a floating-point number.
+func (f *fieldReader) readNumber(name string) float64 {
+	var number float64
 	switch value := f.values[name].(type) {
 	case float64:
-		amount = value
+		number = value
 	case int64:
-		amount = float64(value)
+		number = float64(value)
 	case uint64:
-		amount = float64(value)
+		number = float64(value)
 	default:
 		f.reject(name, "not a number")
 		return 0
 	}
-	if math.IsNaN(amount) || math.IsInf(amount, 0) || amount < 0 || amount > maxAmount {
+	if math.IsNaN(number) || math.IsInf(number, 0) || number < 0 {
 		f.reject(name, "not a finite amount")
 		return 0
 	}
-	return amount
+	return number
+}
+
+// readAmount reads an amount and returns the nearest one that is held. An amount above 0 stays above 0.
+func (f *fieldReader) readAmount(name string) float64 {
+	amount := f.readNumber(name)
+	if amount == 0 {
+		return 0
+	}
+	return min(max(amount, minAmount), maxAmount)
 }
 
-// readDuration reads a number of seconds.
+// readDuration reads a number of seconds and returns the nearest duration that is held. A duration above 0 stays above 0.
 func (f *fieldReader) readDuration(name string) time.Duration {
-	seconds := f.readAmount(name)
-	if seconds > maxDuration.Seconds() {
-		f.reject(name, "longer than a year")
+	seconds := f.readNumber(name)
+	if seconds == 0 {
 		return 0
 	}
-	return units.DurationFromSeconds(seconds)
+	return min(max(units.DurationFromSeconds(seconds), minDuration), maxDuration)
 }
--- a/internal/controller/jobs/parse.go
+++ b/internal/controller/jobs/parse.go
@@ -2,14 +2,10 @@
 
 import (
 	"math"
-	"slices"
 
 	"gullrudder/internal/wire/codec"
 )
 
-// maxMachineTypes is the maximum number of machine types that a submission may list.
-const maxMachineTypes = 100
-
 // ParseSpec parses a submission, which is a MessagePack map (wire protocol, "POST /work"). On failure, the error is a
 // *ValidationError with status 400 that names the first invalid field. The Spec then holds the fields that could be read,
 // possibly including a valid ID.
@@ -20,9 +16,9 @@
 	}
 	fields := &fieldReader{values: values}
 	spec := Spec{
-		ID: fields.readString("id"), Class: fields.readString("berth"), Team: fields.readString("crew"),
+		ID: fields.readText("id"), Class: fields.readText("berth"), Team: fields.readText("crew"),
 		CPUs: fields.readAmount("cpus"), GPUs: fields.readAmount("cards"), MemoryGB: fields.readAmount("mem_gb"),
-		Image: fields.readString("hull"), ImageGB: fields.readAmount("image_gb"),
+		Image: fields.readText("hull"), ImageGB: fields.readAmount("image_gb"),
 		SingleZone: fields.readBool("one_zone"), SpreadAcrossZones: fields.readBool("spread"), AllowsSpot: fields.readBool("driftwood"),
 		RunTimeEstimate:    fields.readDuration("voyage_s"),
 		CheckpointInterval: fields.readDuration("mooring_s"), CheckpointDuration: fields.readDuration("tieup_s"),
@@ -32,7 +28,7 @@
 	}
 	spec.Tasks = fields.readTaskCount("strokes")
 	if spec.CPUs == 0 && spec.GPUs == 0 && spec.MemoryGB == 0 {
-		fields.reject("cpus", "a task that takes nothing")
+		spec.MemoryGB = minAmount // a record without resources is one of a finished job
 	}
 	spec.IsService, spec.IsGang = fields.readJobKind("rig")
 	spec.Priority = fields.readPriority("heading")
@@ -46,7 +42,7 @@
 // readOptionalFields reads the fields that may be missing or null.
 func (f *fieldReader) readOptionalFields(spec *Spec) {
 	if !f.isNull("harbour") {
-		spec.Zone = f.readString("harbour")
+		spec.Zone = f.readText("harbour")
 	}
 	if !f.isNull("keels") {
 		spec.MachineTypes = f.readMachineTypes("keels")
@@ -55,14 +51,12 @@
 		spec.Dependencies = f.readDependencies(FieldDependencies)
 	}
 	if !f.isNull("landfall_s") {
-		if spec.Deadline = f.readDuration("landfall_s"); spec.Deadline == 0 {
-			f.reject("landfall_s", "zero")
-		}
+		spec.Deadline = max(f.readDuration("landfall_s"), minDuration) // 0 stands for no deadline
 	}
 }
 
 func (f *fieldReader) readTaskCount(name string) int {
-	count := f.readAmount(name)
+	count := f.readNumber(name)
 	if count != math.Trunc(count) || count < 1 || count > MaxTasks {
 		f.reject(name, "not a whole number from 1 to 100000")
 	}
@@ -70,7 +64,7 @@
 }
 
 func (f *fieldReader) readJobKind(name string) (isService, isGang bool) {
-	switch f.readString(name) {
+	switch f.readText(name) {
 	case "array":
 		return false, false
 	case "service":
@@ -84,7 +78,7 @@
 }
 
 func (f *fieldReader) readPriority(name string) Priority {
-	switch f.readString(name) {
+	switch f.readText(name) {
 	case "critical":
 		return Critical
 	case "high":
@@ -98,39 +92,44 @@
 	return Low
 }
 
+// readMachineTypes reads a list of machine types without duplicates.
 func (f *fieldReader) readMachineTypes(name string) []string {
 	list, ok := f.values[name].([]any)
-	if !ok || len(list) == 0 || len(list) > maxMachineTypes {
-		f.reject(name, "not a list of 1 to 100 types")
-	}
-	var types []string
-	for _, value := range list {
-		machineType, ok := value.(string)
-		if !ok || machineType == "" {
-			f.reject(name, "a type is not a text")
-		}
-		types = append(types, machineType)
+	if !ok || len(list) == 0 {
+		f.reject(name, "not a list of types, or empty")
+		return nil
 	}
-	return types
+	return f.readTexts(name, list, func(string) bool { return true }, "a type is not a text")
 }
 
 // readDependencies reads a list of job IDs without duplicates.
 func (f *fieldReader) readDependencies(name string) []string {
 	list, ok := f.values[name].([]any)
-	if !ok || len(list) > maxDependencies {
-		f.reject(name, "not a list of at most 64 jobs")
+	if !ok {
+		f.reject(name, "not a list of jobs")
 		return nil
 	}
-	var ids []string
-	for _, value := range list {
-		id, ok := value.(string)
-		if !ok || !ValidID(id) {
-			f.reject(name, "a job not of the form job-000412")
+	ids := f.readTexts(name, list, ValidID, "a job not of the form job-000412")
+	if len(ids) > maxDependencies {
+		f.reject(name, "more than 64 jobs")
+	}
+	return ids
+}
+
+// readTexts reads a list of texts and drops duplicates. It rejects the field for the given reason if an item is no valid text.
+func (f *fieldReader) readTexts(name string, list []any, isValid func(string) bool, reason string) []string {
+	var texts []string
+	seen := make(map[string]bool, len(list))
+	for _, item := range list {
+		text, ok := item.(string)
+		if !ok || !isValid(text) {
+			f.reject(name, reason)
 			return nil
 		}
-		if !slices.Contains(ids, id) {
-			ids = append(ids, id)
+		if !seen[text] {
+			seen[text] = true
+			texts = append(texts, text)
 		}
 	}
-	return ids
+	return texts
 }
--- a/internal/controller/jobs/progress.go
+++ b/internal/controller/jobs/progress.go
@@ -1,6 +1,10 @@
 package jobs
 
-import "time"
+import (
+	"time"
+
+	"gullrudder/internal/units"
+)
 
 // Progress records which tasks of a job are done, which have an active attempt and which wait to be started.
 //
@@ -148,8 +152,8 @@
 // RemainingWork returns the sum of the remaining run times of all unfinished tasks. taskRunTime is the estimated run time of one
 // task. The time that running tasks have run is subtracted, up to nine tenths of their estimated run time in total.
 func (j *Job) RemainingWork(taskRunTime time.Duration, now time.Time) time.Duration {
-	running := time.Duration(j.runningCount)
-	total := time.Duration(j.remainingTasks()) * taskRunTime
-	elapsed := running*now.Sub(j.SubmittedAt) - j.runningStartSum
-	return max(total-min(elapsed, running*taskRunTime*9/10), 0)
+	total := units.Multiply(taskRunTime, j.remainingTasks())
+	elapsed := time.Duration(j.runningCount)*now.Sub(j.SubmittedAt) - j.runningStartSum
+	longest := units.Multiply(taskRunTime, j.runningCount)
+	return max(total-min(elapsed, longest-longest/10), 0)
 }
--- a/internal/controller/placement/preempt.go
+++ b/internal/controller/placement/preempt.go
@@ -10,6 +10,7 @@
 	"gullrudder/internal/controller/queue"
 	"gullrudder/internal/controller/worker"
 	"gullrudder/internal/logkeys"
+	"gullrudder/internal/units"
 	"gullrudder/internal/wire/workerapi"
 )
 
@@ -107,7 +108,7 @@
 		}
 		fit := freeable.machine.TasksThatFit(job)
 		if job.CPUs > 0 {
-			fit += int(freeable.stoppingCPUs / job.CPUs)
+			fit += units.CountThatFits(tasks, job.CPUs, freeable.stoppingCPUs)
 		}
 		tasks -= zones.Assign(freeable.machine.Zone, fit)
 	}
--- a/internal/controller/placement/quota.go
+++ b/internal/controller/placement/quota.go
@@ -21,12 +21,12 @@
 func TasksAllowedByQuota(job *jobs.Job, team config.Team, usage *worker.Usage) int {
 	tasks := job.Tasks
 	if team.CPULimit > 0 && job.CPUs > 0 {
-		tasks = min(tasks, int(math.Floor((team.CPULimit-usage.CPUs+units.ResourceTolerance)/job.CPUs)))
+		tasks = units.CountThatFits(tasks, job.CPUs, team.CPULimit-usage.CPUs+units.ResourceTolerance)
 	}
 	if team.GPULimit > 0 && job.GPUs > 0 {
-		tasks = min(tasks, int(math.Floor((team.GPULimit-usage.GPUs+units.ResourceTolerance)/job.GPUs)))
+		tasks = units.CountThatFits(tasks, job.GPUs, team.GPULimit-usage.GPUs+units.ResourceTolerance)
 	}
-	return max(tasks, 0)
+	return tasks
 }
 
 // ExceedsQuota reports whether the job can never run within its team's quota. Services and gangs need the quota for all
--- a/internal/controller/worker/resources.go
+++ b/internal/controller/worker/resources.go
@@ -23,7 +23,7 @@
 	if perTask <= 0 {
 		return count
 	}
-	return min(count, int((available+units.ResourceTolerance)/perTask))
+	return units.CountThatFits(count, perTask, available+units.ResourceTolerance)
 }
 
 // AfterPlacing returns the resources left after placing a number of tasks of the job. A negative number releases their resources.
--- a/internal/simulator/checker.go
+++ b/internal/simulator/checker.go
@@ -20,6 +20,7 @@
 // observedJob is a job with the events observed so far.
 type observedJob struct {
 	spec            jobs.Spec
+	otherFields     Submission // fields whose submitted values differ from those of spec
 	runTime         time.Duration
 	runTimeStep     time.Duration // added to the run time for each task index
 	completedTasks  map[int]bool
--- a/internal/simulator/cluster.go
+++ b/internal/simulator/cluster.go
@@ -87,7 +87,7 @@
 	sim.State = newStateService(sim)
 	sim.Cloud = newCloud(sim)
 	sim.checker = newInvariantChecker(sim)
-	sim.Users = newUsers(sim)
+	sim.Users = newUsers(sim, seed)
 	sim.checker.watchQueue()
 	for i := range options.Controllers {
 		process := &controllerProcess{index: i, platform: sim.platformConfig(i), clockDrift: (sim.Rand.Float64() - 0.5) * 0.001}
--- a/internal/simulator/rules.go
+++ b/internal/simulator/rules.go
@@ -34,6 +34,8 @@
 	RuleStartRefused Rule = "in_use"
 	// RuleResultLost is broken if a worker receives a forget command for a result that is not durable.
 	RuleResultLost Rule = "result_lost"
+	// RuleSoundRefused is broken if a submission that the protocol allows gets status 400.
+	RuleSoundRefused Rule = "sound_refused"
 	// RuleLeftWaiting is broken if a job waits longer than maxStartableWait although a machine has capacity for it.
 	RuleLeftWaiting Rule = "left_waiting"
 	// RuleInvalidAccepted is broken if an invalid submission is not rejected with the expected status.
--- a/internal/units/units.go
+++ b/internal/units/units.go
@@ -1,8 +1,11 @@
-// Package units defines conversions and tolerances that several packages share, for durations in seconds, megabytes and resources. It holds
-// no state and imports no other package of the module.
+// Package units defines conversions, sums and tolerances that several packages share, for durations in seconds, megabytes and resources. It
+// holds no state and imports no other package of the module.
 package units
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // ResourceTolerance absorbs rounding errors when amounts of resources are compared. The leader and the workers must use the same value, so
 // that a worker accepts the tasks that the leader places on it.
@@ -11,7 +14,48 @@
 // BytesPerMB is the number of bytes in a megabyte of settings and views.
 const BytesPerMB = 1 << 20
 
-// DurationFromSeconds converts a number of seconds, the unit of settings and messages, to a duration.
+// MaxDuration is the longest duration that the functions of this package return. Five of them can be added without an overflow.
+const MaxDuration = 50 * 365 * 24 * time.Hour
+
+// DurationFromSeconds converts a number of seconds, the unit of settings and messages, to the nearest duration. A number beyond MaxDuration
+// in either direction becomes MaxDuration or its negative; NaN becomes 0.
 func DurationFromSeconds(seconds float64) time.Duration {
-	return time.Duration(seconds * float64(time.Second))
+	switch {
+	case math.IsNaN(seconds):
+		return 0
+	case seconds >= MaxDuration.Seconds():
+		return MaxDuration
+	case seconds <= -MaxDuration.Seconds():
+		return -MaxDuration
+	}
+	return time.Duration(math.Round(seconds * float64(time.Second)))
+}
+
+// Add returns the sum of two durations that are not negative, at most MaxDuration.
+func Add(a, b time.Duration) time.Duration {
+	if a >= MaxDuration-b {
+		return MaxDuration
+	}
+	return a + b
+}
+
+// Multiply returns the duration times a count, at most MaxDuration. Neither may be negative.
+func Multiply(duration time.Duration, count int) time.Duration {
+	if count > 0 && duration > MaxDuration/time.Duration(count) {
+		return MaxDuration
+	}
+	return duration * time.Duration(count)
+}
+
+// CountThatFits returns how many of count items fit into the available amount if each takes perItem, which must be above 0. A quotient that
+// an int does not hold is no special case.
+func CountThatFits(count int, perItem, available float64) int {
+	quotient := available / perItem
+	switch {
+	case quotient >= float64(count):
+		return count
+	case quotient <= 0:
+		return 0
+	}
+	return int(quotient)
 }
--- a/internal/wire/codec/codec.go
+++ b/internal/wire/codec/codec.go
@@ -45,10 +45,21 @@
 	return nil
 }
 
-// UnmarshalMap validates and decodes a body that must be one map with string keys; for null it returns ErrNull. It is used where fields
-// are checked one by one, so that the response can name the wrong field.
+// UnmarshalKnownFields is Unmarshal for a sender whose message may have fields of any depth that the receiver does not know. Values
+// that are nested more than maxNestingDepth deep are decoded as null.
+func UnmarshalKnownFields(body []byte, v any) error {
+	body, err := decodable(body)
+	if err != nil {
+		return err
+	}
+	return Unmarshal(body, v)
+}
+
+// UnmarshalMap decodes a body that must be one map with string keys; for null it returns ErrNull. It is used where fields are checked one
+// by one, so that the response can name the wrong field. Values that are nested more than maxNestingDepth deep are decoded as null.
 func UnmarshalMap(body []byte) (Object, error) {
-	if err := Validate(body); err != nil {
+	body, err := decodable(body)
+	if err != nil {
 		return nil, err
 	}
 	decoder := msgpack.NewDecoder(bytes.NewReader(body))
@@ -62,3 +73,13 @@
 	}
 	return object, nil
 }
+
+// decodable returns a body that passes Validate. It prunes values that are nested too deeply. The errors are those of Validate, except for
+// ErrNestedTooDeeply.
+func decodable(body []byte) ([]byte, error) {
+	err := Validate(body)
+	if errors.Is(err, ErrNestedTooDeeply) {
+		return pruneDeepValues(body)
+	}
+	return body, err
+}
--- a/internal/wire/codec/json_size.go
+++ b/internal/wire/codec/json_size.go
@@ -60,7 +60,7 @@
 // jsonScalarSize returns the JSON size of a number, boolean or null. It encodes the value to measure it.
 func jsonScalarSize(b []byte) (size int, rest []byte) {
 	var value any
-	rest, err := skipValue(b, 0)
+	rest, err := skipValue(b)
 	if err != nil || msgpack.Unmarshal(b[:len(b)-len(rest)], &value) != nil {
 		return 0, nil
 	}
--- a/internal/wire/workerapi/messages.go
+++ b/internal/wire/workerapi/messages.go
@@ -139,7 +139,7 @@
 // DecodeHeartbeatID decodes only the HeartbeatID of a heartbeat. ok is false if the body cannot be decoded, or if the machine ID is
 // empty or longer than MaxMachineIDBytes.
 func DecodeHeartbeatID(body []byte) (id HeartbeatID, ok bool) {
-	if codec.Unmarshal(body, &id) != nil || id.Machine == "" || len(id.Machine) > MaxMachineIDBytes {
+	if codec.UnmarshalKnownFields(body, &id) != nil || id.Machine == "" || len(id.Machine) > MaxMachineIDBytes {
 		return HeartbeatID{}, false
 	}
 	return id, true
