workerapi: grant a task at least the time to save that its user submitted

Callers saw: the work of a task since its last checkpoint is lost when it is stopped for a preemption, a reclaim notice or a consolidation, if tieup_s is 1.36, 2.05 or one of 1,831 values of 0.01 to 999.99.

Cause: tieup_s was rounded down to nanoseconds, and a worker lets a task save only if ease_s, the number that comes back, is at least tieup_s.

Change: tieup_s is held rounded up, so that it also survives a version that rounds down when it reads the record, and a kill grants whole milliseconds, rounded up, which covers jobs that such a version has stored. All three callers use KillAfterCheckpoint.

The simulated worker compares the numbers as they are sent; before, it compared with 1 s.

--- a/internal/controller/autoscaler/consolidate.go
+++ b/internal/controller/autoscaler/consolidate.go
@@ -146,7 +146,7 @@
 	var commands []workerapi.Command
 	for _, attempt := range machine.Attempts {
 		attempt.StopRequestedAt = now
-		commands = append(commands, workerapi.Kill(attempt.Task.String(), attempt.Number, attempt.Job.CheckpointDuration.Seconds()))
+		commands = append(commands, workerapi.KillAfterCheckpoint(attempt.Task.String(), attempt.Number, attempt.Job.CheckpointDuration))
 	}
 	worker.SendCommands(s.outbox, s.fencingToken, machine, commands)
 }
--- a/internal/controller/heartbeat/response.go
+++ b/internal/controller/heartbeat/response.go
@@ -149,7 +149,7 @@
 			attempt.KillsSent++
 			commands = append(commands, workerapi.Kill(attempt.Task.String(), attempt.Number, 0))
 		case !attempt.StopRequestedAt.IsZero() && !attempt.IsCheckpointing:
-			commands = append(commands, workerapi.Kill(attempt.Task.String(), attempt.Number, job.CheckpointDuration.Seconds()))
+			commands = append(commands, workerapi.KillAfterCheckpoint(attempt.Task.String(), attempt.Number, job.CheckpointDuration))
 		}
 	}
 	return commands
--- a/internal/controller/jobs/fields.go
+++ b/internal/controller/jobs/fields.go
@@ -80,9 +80,17 @@
 
 // readDuration reads a number of seconds and returns the nearest duration that is held. A duration above 0 stays above 0.
 func (f *fieldReader) readDuration(name string) time.Duration {
-	seconds := f.readNumber(name)
+	return heldDuration(units.DurationFromSeconds, f.readNumber(name))
+}
+
+// readDurationRoundedUp is readDuration for a duration that must not be held shorter than it was sent.
+func (f *fieldReader) readDurationRoundedUp(name string) time.Duration {
+	return heldDuration(units.DurationOfAtLeast, f.readNumber(name))
+}
+
+func heldDuration(convert func(seconds float64) time.Duration, seconds float64) time.Duration {
 	if seconds == 0 {
 		return 0
 	}
-	return min(max(units.DurationFromSeconds(seconds), minDuration), maxDuration)
+	return min(max(convert(seconds), minDuration), maxDuration)
 }
--- a/internal/controller/jobs/parse.go
+++ b/internal/controller/jobs/parse.go
@@ -21,7 +21,7 @@
 		Image: fields.readText("hull"), ImageGB: fields.readAmount("image_gb"),
 		SingleZone: fields.readBool("one_zone"), SpreadAcrossZones: fields.readBool("spread"), AllowsSpot: fields.readBool("driftwood"),
 		RunTimeEstimate:    fields.readDuration("voyage_s"),
-		CheckpointInterval: fields.readDuration("mooring_s"), CheckpointDuration: fields.readDuration("tieup_s"),
+		CheckpointInterval: fields.readDuration("mooring_s"), CheckpointDuration: fields.readDurationRoundedUp("tieup_s"),
 	}
 	if !ValidID(spec.ID) {
 		fields.reject("id", "not of the form job-000412")
--- a/internal/controller/jobs/sound_test.go
+++ b/internal/controller/jobs/sound_test.go
@@ -14,6 +14,7 @@
 
 	"gullrudder/internal/wire/codec"
 	"gullrudder/internal/wire/submissiontest"
+	"gullrudder/internal/wire/workerapi"
 
 	"github.com/google/go-cmp/cmp"
 )
@@ -199,6 +200,37 @@
 	}
 }
 
+// TestKillGrantsSubmittedTimeToSave guards against a kill command that grants less than tieup_s, after which a worker ends the task at once
+// and its work is lost. The job may also have been stored by a version that rounds down, or be read by one.
+func TestKillGrantsSubmittedTimeToSave(t *testing.T) {
+	fields := submission()
+	tooShort, shortenedByOthers := 0, 0
+	for hundredths := 1; hundredths < 100_000; hundredths++ {
+		seconds := float64(hundredths) / 100
+		fields["tieup_s"] = seconds
+		spec, err := ParseSpec(mustMarshal(t, fields))
+		if err != nil {
+			t.Fatal(err)
+		}
+		restored, err := FromRecord(spec.ID, New(spec, time.Unix(1000, 0)).Record())
+		if err != nil {
+			t.Fatal(err)
+		}
+		storedRoundedDown := time.Duration(seconds * float64(time.Second))
+		for _, duration := range []time.Duration{spec.CheckpointDuration, restored.CheckpointDuration, storedRoundedDown} {
+			if *workerapi.KillAfterCheckpoint("job-1/0", 1, duration).GraceSeconds < seconds {
+				tooShort++
+			}
+		}
+		if readRoundedDown := time.Duration(spec.CheckpointDuration.Seconds() * float64(time.Second)); readRoundedDown.Seconds() < seconds {
+			shortenedByOthers++
+		}
+	}
+	if tooShort > 0 || shortenedByOthers > 0 {
+		t.Errorf("grants of less than the submitted time: got %d, and %d by a version that rounds down, want 0", tooShort, shortenedByOthers)
+	}
+}
+
 // TestSubmissionWithManyDependenciesIsAccepted guards against a bound on the number of dependencies that the protocol does not have.
 func TestSubmissionWithManyDependenciesIsAccepted(t *testing.T) {
 	ids := make([]string, 65)
--- a/internal/controller/placement/preempt.go
+++ b/internal/controller/placement/preempt.go
@@ -130,7 +130,7 @@
 		tasks -= max(int(attempt.Job.CPUs/estimate.CountedCPUs(job)), 1)
 		p.reservations.reserve(machine, job)
 		p.log.Info("task preempted", logkeys.Task, attempt.Task, logkeys.Machine, machine.ID, logkeys.Job, job.ID)
-		kill := workerapi.Kill(attempt.Task.String(), attempt.Number, attempt.Job.CheckpointDuration.Seconds())
+		kill := workerapi.KillAfterCheckpoint(attempt.Task.String(), attempt.Number, attempt.Job.CheckpointDuration)
 		worker.SendCommands(p.outbox, p.fencingToken, machine, []workerapi.Command{kill})
 	}
 }
--- a/internal/simulator/checker.go
+++ b/internal/simulator/checker.go
@@ -76,10 +76,23 @@
 	return job.alwaysFails
 }
 
-// hasCheckpoints reports whether the task saves a checkpoint when it is killed with a sufficient grace period.
-func (checker *invariantChecker) hasCheckpoints(taskID jobs.TaskID) bool {
+// savesCheckpoint reports whether the task saves a checkpoint when it is killed with a grace period. Like a real worker, it compares the
+// number of the command with the one that the user submitted. A grace period above 0 that is too short breaks RuleWorkLost.
+func (checker *invariantChecker) savesCheckpoint(taskID jobs.TaskID, graceSeconds *float64) bool {
 	job := checker.jobs[taskID.JobID]
-	return job != nil && job.spec.CheckpointInterval > 0
+	if job == nil || job.spec.CheckpointInterval == 0 || graceSeconds == nil {
+		return false
+	}
+	submitted := job.spec.CheckpointDuration.Seconds()
+	if *graceSeconds > 0 && *graceSeconds < submitted {
+		checker.sim.reportViolation(RuleWorkLost, "%s has %v s to save its work, and needs %v s", taskID, *graceSeconds, submitted)
+	}
+	return *graceSeconds >= submitted
+}
+
+// checkpointDuration returns how long the task takes to save a checkpoint.
+func (checker *invariantChecker) checkpointDuration(taskID jobs.TaskID) time.Duration {
+	return checker.jobs[taskID.JobID].spec.CheckpointDuration
 }
 
 // mayHoldTasks reports whether tasks may still run on the machine. A worker kills its tasks when its lease expires. A machine that hangs
--- a/internal/simulator/worker.go
+++ b/internal/simulator/worker.go
@@ -198,11 +198,9 @@
 				continue
 			}
 			m.sim.checker.killReceived(task)
-			savesCheckpoint := m.sim.checker.hasCheckpoints(key) && command.GraceSeconds != nil && *command.GraceSeconds >= 1 &&
-				task.state == workerapi.StateRunning
-			if savesCheckpoint {
+			if task.state == workerapi.StateRunning && m.sim.checker.savesCheckpoint(key, command.GraceSeconds) {
 				task.state = workerapi.StateCheckpointing
-				m.afterDelay(task, time.Second, func() { m.exitTask(task, "halted", true) })
+				m.afterDelay(task, m.sim.checker.checkpointDuration(key), func() { m.exitTask(task, "halted", true) })
 			} else {
 				m.exitTask(task, "halted", false)
 			}
--- a/internal/units/units.go
+++ b/internal/units/units.go
@@ -31,6 +31,21 @@
 	return time.Duration(math.Round(seconds * float64(time.Second)))
 }
 
+// DurationOfAtLeast returns the shortest duration up to MaxDuration that is not shorter than a number of seconds, neither as the result of
+// Seconds nor when that result was converted back by rounding down.
+func DurationOfAtLeast(seconds float64) time.Duration {
+	duration := DurationFromSeconds(seconds)
+	for duration < MaxDuration && roundedDown(duration).Seconds() < seconds {
+		duration += max(time.Nanosecond, duration>>52) // the next number that a float64 of seconds can distinguish
+	}
+	return min(duration, MaxDuration)
+}
+
+// roundedDown returns a duration after it was written as seconds and read by a version that rounds down.
+func roundedDown(duration time.Duration) time.Duration {
+	return min(duration, time.Duration(duration.Seconds()*float64(time.Second)))
+}
+
 // Add returns the sum of two durations that are not negative, at most MaxDuration.
 func Add(a, b time.Duration) time.Duration {
 	if a >= MaxDuration-b {
--- a/internal/units/units_test.go
+++ b/internal/units/units_test.go
@@ -18,6 +18,27 @@
 	}
 }
 
+// TestDurationOfAtLeastIsNeverShorter checks that a duration stays long enough, also after a version has read it by rounding down.
+func TestDurationOfAtLeastIsNeverShorter(t *testing.T) {
+	check := func(seconds float64) {
+		duration := DurationOfAtLeast(seconds)
+		readByRoundingDown := time.Duration(duration.Seconds() * float64(time.Second))
+		if duration.Seconds() < seconds || readByRoundingDown.Seconds() < seconds {
+			t.Fatalf("%v s: got %d ns, %d ns after rounding down", seconds, duration, readByRoundingDown)
+		}
+		if excess := duration - DurationFromSeconds(seconds); excess > time.Microsecond {
+			t.Fatalf("%v s: got %v more", seconds, excess)
+		}
+	}
+	for hundredths := range 100_000 {
+		check(float64(hundredths) / 100)
+		check(math.Nextafter(float64(hundredths)/100, math.Inf(1)))
+	}
+	for _, seconds := range []float64{1e-60, 1e-9, 1.5e-9, 86_400.123456789, 365 * 24 * 3600 * 0.999999} {
+		check(seconds)
+	}
+}
+
 // TestDurationsDoNotOverflow checks the conversion of numbers that no duration holds, and sums and products beyond MaxDuration.
 func TestDurationsDoNotOverflow(t *testing.T) {
 	for seconds, want := range map[float64]time.Duration{
@@ -31,6 +52,9 @@
 	if got := DurationFromSeconds(math.NaN()); got != 0 {
 		t.Errorf("NaN: got %v, want 0", got)
 	}
+	if got := DurationOfAtLeast(1e300); got != MaxDuration {
+		t.Errorf("at least 1e300 s: got %v, want %v", got, MaxDuration)
+	}
 	if got := Add(MaxDuration, MaxDuration); got != MaxDuration {
 		t.Errorf("sum: got %v, want %v", got, MaxDuration)
 	}
--- a/internal/wire/workerapi/messages.go
+++ b/internal/wire/workerapi/messages.go
@@ -3,7 +3,11 @@
 // nothing. The struct tags are the names on the wire. Design note: docs/design/reachability.md.
 package workerapi
 
-import "gullrudder/internal/wire/codec"
+import (
+	"time"
+
+	"gullrudder/internal/wire/codec"
+)
 
 // MaxMachineIDBytes bounds the length of a machine ID.
 const MaxMachineIDBytes = 100
@@ -12,6 +16,8 @@
 // them, and its body may have at most 64 KiB.
 const MaxTasksPerMachine = 400
 
+const millisecondsPerSecond = 1000
+
 // Heartbeat is the status that a worker sends to the leader periodically, and in response to direct commands. Incarnation and Sequence
 // order the heartbeats of one worker (see Position). The sequence number counts within an incarnation. A worker begins a new incarnation
 // when its lease has expired.
@@ -104,6 +110,13 @@
 	return Command{Operation: OperationKill, Task: task, Attempt: attempt, GraceSeconds: &graceSeconds}
 }
 
+// KillAfterCheckpoint returns the command to stop an attempt that first saves a checkpoint, which takes checkpointDuration. The granted
+// time is rounded up to whole milliseconds: a worker lets the attempt save only if it gets at least the time that its user submitted.
+func KillAfterCheckpoint(task string, attempt uint64, checkpointDuration time.Duration) Command {
+	milliseconds := (checkpointDuration + time.Millisecond - 1) / time.Millisecond
+	return Kill(task, attempt, float64(milliseconds)/millisecondsPerSecond)
+}
+
 // Forget returns the command to remove an exited attempt from later heartbeats.
 func Forget(task string, attempt uint64) Command {
 	return Command{Operation: OperationForget, Task: task, Attempt: attempt}
