http1: accept chunked bodies, empty lines before a request, absolute targets

Callers saw: a sound HTTP/1.1 client got 501 for a body in chunks and 400 for an empty line before the request line or a target in absolute form (RFC 9112).

Cause: the parser knew one spelling of each.

Change: a messageReader assembles a message from the bytes as they arrive, so a chunked body is decoded once, and no more than the bound of the body and one line is kept. Content-Length beside Transfer-Encoding gets 400, other codings 501 as before. An empty line after a request is not taken for a pipelined request.

TestSlowRequestsEnd, over real sockets, serves a request sent over 0.9 s and closes half-sent and endless ones within the read timeout and a second.

--- a/internal/wire/http1/parse.go
+++ b/internal/wire/http1/parse.go
@@ -23,39 +23,28 @@
 	message          Message
 	contentLength    int
 	hasContentLength bool
+	isChunked        bool // the body has the chunked transfer coding
+	isResponse       bool
 	isHTTP10         bool
 	keepAlive        bool
 }
 
 // Parse parses one complete message at the start of the buffer. It returns the message and the number of bytes that it takes, or nil and 0
-// while more bytes are needed. The message's body is a slice of the buffer. maxBodyBytes bounds the body. Every error is a ProtocolError.
+// while more bytes are needed. The message's body may be a slice of the buffer. maxBodyBytes bounds the body. Every error is a
+// ProtocolError.
 func Parse(buffer []byte, isResponse bool, maxBodyBytes int) (*Message, int, error) {
-	end := bytes.Index(buffer, []byte(headEnd))
-	if end < 0 {
-		return nil, 0, checkPartialHead(buffer)
-	}
-	if end > maxHeadBytes {
-		return nil, 0, newProtocolError(http.StatusRequestHeaderFieldsTooLarge, "head too large")
-	}
-	head, err := parseHead(string(buffer[:end]), isResponse)
-	if err != nil {
+	reader := newMessageReader(isResponse, maxBodyBytes)
+	reader.buffer = buffer
+	message, err := reader.next()
+	if message == nil {
 		return nil, 0, err
 	}
-	if head.contentLength > maxBodyBytes {
-		return nil, 0, newProtocolError(http.StatusRequestEntityTooLarge, "body too large")
-	}
-	bodyStart := end + len(headEnd)
-	total := bodyStart + head.contentLength
-	if len(buffer) < total {
-		return nil, 0, nil
-	}
-	head.message.Body = buffer[bodyStart:total]
-	return &head.message, total, nil
+	return message, len(buffer) - len(reader.buffer), nil
 }
 
-// checkPartialHead refuses an incomplete head that cannot become valid.
-func checkPartialHead(buffer []byte) error {
-	if len(buffer) > maxHeadBytes {
+// checkPartialHead refuses an incomplete head that cannot become valid. totalBytes includes the empty lines before it.
+func checkPartialHead(buffer []byte, totalBytes int) error {
+	if totalBytes > maxHeadBytes {
 		return newProtocolError(http.StatusRequestHeaderFieldsTooLarge, "head too large")
 	}
 	if i := bytes.IndexByte(buffer, '\n'); i == 0 || i > 0 && buffer[i-1] != '\r' {
@@ -66,7 +55,7 @@
 
 func parseHead(text string, isResponse bool) (*messageHead, error) {
 	line, rest, _ := strings.Cut(text, "\r\n")
-	head := &messageHead{}
+	head := &messageHead{isResponse: isResponse}
 	parseFirstLine := head.parseRequestLine
 	if isResponse {
 		parseFirstLine = head.parseStatusLine
@@ -83,6 +72,9 @@
 			return nil, err
 		}
 	}
+	if head.isChunked && (head.hasContentLength || head.isHTTP10) {
+		return nil, newProtocolError(http.StatusBadRequest, "Transfer-Encoding with Content-Length or HTTP/1.0")
+	}
 	if head.isHTTP10 && !head.keepAlive {
 		head.message.CloseConnection = true
 	}
@@ -116,7 +108,8 @@
 		return newProtocolError(http.StatusBadRequest, "bad request line")
 	}
 	method, target, version := parts[0], parts[1], parts[2]
-	if !isToken(method) || target == "" || target[0] != '/' || !h.parseVersion(version) {
+	target, ok := originForm(target)
+	if !isToken(method) || !ok || !h.parseVersion(version) {
 		return newProtocolError(http.StatusBadRequest, "bad request line")
 	}
 	for i := 0; i < len(target); i++ {
@@ -128,6 +121,29 @@
 	return nil
 }
 
+// originForm returns the path and query of a request target in origin form or absolute form (RFC 9112, section 3.2).
+func originForm(target string) (path string, ok bool) {
+	if strings.HasPrefix(target, "/") {
+		return target, true
+	}
+	scheme, rest, ok := strings.Cut(target, "://")
+	if !ok || !strings.EqualFold(scheme, "http") && !strings.EqualFold(scheme, "https") {
+		return "", false
+	}
+	authorityEnd := strings.IndexAny(rest, "/?#")
+	if authorityEnd < 0 {
+		authorityEnd = len(rest)
+	}
+	authority, path := rest[:authorityEnd], rest[authorityEnd:]
+	if authority == "" || strings.Contains(authority, "@") {
+		return "", false
+	}
+	if !strings.HasPrefix(path, "/") {
+		path = "/" + path
+	}
+	return path, true
+}
+
 func (h *messageHead) parseVersion(version string) bool {
 	h.isHTTP10 = version == "HTTP/1.0"
 	return h.isHTTP10 || version == protocolVersion
@@ -148,7 +164,7 @@
 	case "content-length":
 		return h.setContentLength(value)
 	case "transfer-encoding":
-		return newProtocolError(http.StatusNotImplemented, "transfer coding not supported")
+		return h.setTransferEncoding(value)
 	case "connection":
 		h.setConnection(value)
 	case "retry-after":
@@ -171,6 +187,18 @@
 	return nil
 }
 
+// setTransferEncoding accepts the chunked coding of requests. The servers that the controllers call send Content-Length.
+func (h *messageHead) setTransferEncoding(value string) error {
+	if h.isResponse || !strings.EqualFold(value, "chunked") {
+		return newProtocolError(http.StatusNotImplemented, "transfer coding not supported")
+	}
+	if h.isChunked {
+		return newProtocolError(http.StatusBadRequest, "chunked twice")
+	}
+	h.isChunked = true
+	return nil
+}
+
 func (h *messageHead) setConnection(value string) {
 	for _, option := range strings.Split(value, ",") {
 		switch strings.ToLower(strings.TrimSpace(option)) {
--- a/internal/wire/http1/server.go
+++ b/internal/wire/http1/server.go
@@ -23,7 +23,7 @@
 // conn is the state of one connection. The evio loop owns the first group of fields; mu guards the second.
 type conn struct {
 	evioConn         evio.Conn
-	buffer           []byte // received bytes of an incomplete request
+	reader           messageReader
 	awaitingResponse bool
 	isClosing        bool
 	lastActivity     time.Time
@@ -102,7 +102,7 @@
 	if len(s.conns) >= s.options.MaxConnections {
 		return nil, evio.Options{}, evio.Close
 	}
-	state := &conn{evioConn: evioConn, lastActivity: time.Now()}
+	state := &conn{evioConn: evioConn, reader: newMessageReader(false, MaxBodyBytes), lastActivity: time.Now()}
 	evioConn.SetContext(state)
 	s.conns[state] = struct{}{}
 	return nil, evio.Options{ReuseInputBuffer: true}, evio.None
@@ -128,14 +128,17 @@
 		return nil, evio.None
 	}
 	if state.awaitingResponse {
+		if len(input) == leadingEmptyLines(input) {
+			return nil, evio.None
+		}
 		// Pipelining is not supported: the input is dropped, and the connection is closed after the pending response.
 		state.isClosing = true
 		return nil, evio.None
 	}
-	if len(state.buffer) == 0 {
+	if !state.reader.isPartial() {
 		state.lastActivity = time.Now()
 	}
-	state.buffer = append(state.buffer, input...)
+	state.reader.add(input)
 	message, err := state.takeMessage()
 	if err != nil {
 		s.refusals.record(time.Now(), evioConn.RemoteAddr().String(), err)
@@ -149,7 +152,7 @@
 
 // takeMessage parses a complete request and releases the buffer. It returns nil while the request is incomplete.
 func (c *conn) takeMessage() (*Message, error) {
-	message, consumedBytes, err := Parse(c.buffer, false, MaxBodyBytes)
+	message, err := c.reader.next()
 	if err != nil {
 		c.isClosing = true
 		return nil, err
@@ -157,11 +160,11 @@
 	if message == nil {
 		return nil, nil
 	}
-	if consumedBytes < len(c.buffer) || message.CloseConnection {
+	if rest := c.reader.buffer; len(rest) > leadingEmptyLines(rest) || message.CloseConnection {
 		c.isClosing = true
 	}
-	// The body is a slice of the buffer and now belongs to the request.
-	c.buffer = nil
+	// The body may be a slice of the buffer and now belongs to the request.
+	c.reader = newMessageReader(false, MaxBodyBytes)
 	c.awaitingResponse = true
 	return message, nil
 }
@@ -248,5 +251,5 @@
 		return false
 	}
 	sinceActivity := now.Sub(c.lastActivity)
-	return len(c.buffer) > 0 && sinceActivity > options.ReadTimeout || sinceActivity > options.IdleTimeout
+	return c.reader.isPartial() && sinceActivity > options.ReadTimeout || sinceActivity > options.IdleTimeout
 }
--- a/internal/wire/http1/server_test.go
+++ b/internal/wire/http1/server_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"log/slog"
 	"net"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -75,3 +76,79 @@
 		}
 	}
 }
+
+// startServer starts a server that answers each request with status 200.
+func startServer(t *testing.T, maxConnections int, readTimeout time.Duration) (addr string) {
+	t.Helper()
+	server := NewServer(ServerOptions{
+		PublicAddr: freeAddr(t), MaxConnections: maxConnections, IdleTimeout: time.Minute, ReadTimeout: readTimeout,
+		Handler: func(request *Request) { request.Respond(200, request.Body, 0) },
+	})
+	go func() { _ = server.Run() }()
+	conn := dial(t, server.options.PublicAddr)
+	expectServed(t, conn)
+	_ = conn.Close()
+	return server.options.PublicAddr
+}
+
+// expectServed sends a request and expects status 200.
+func expectServed(t *testing.T, conn net.Conn) {
+	t.Helper()
+	send(t, conn, "GET /ready HTTP/1.1\r\n\r\n")
+	if status := readStatus(conn); status != "200" {
+		t.Errorf("response: got %q, want status 200", status)
+	}
+}
+
+func send(t *testing.T, conn net.Conn, text string) {
+	t.Helper()
+	if _, err := conn.Write([]byte(text)); err != nil {
+		t.Errorf("send %.40q: got error %v, want none", text, err)
+	}
+}
+
+// readStatus returns the status of a response, or an empty string if none comes within some seconds.
+func readStatus(conn net.Conn) string {
+	_ = conn.SetReadDeadline(time.Now().Add(5 * time.Second))
+	buffer := make([]byte, 0, maxHeadBytes)
+	for {
+		n, err := conn.Read(buffer[len(buffer):cap(buffer)])
+		buffer = buffer[:len(buffer)+n]
+		if response, _, parseErr := Parse(buffer, true, MaxBodyBytes); response != nil {
+			return strconv.Itoa(response.Status)
+		} else if err != nil || parseErr != nil {
+			return ""
+		}
+	}
+}
+
+// TestSlowRequestsEnd checks that a request that is sent slowly is served if it is complete within the read timeout, and that its
+// connection is closed otherwise, while other users are served.
+func TestSlowRequestsEnd(t *testing.T) {
+	const readTimeout = 2 * time.Second
+	addr := startServer(t, 100, readTimeout)
+	slow, half, endless := dial(t, addr), dial(t, addr), dial(t, addr)
+	defer func() { _, _, _ = slow.Close(), half.Close(), endless.Close() }()
+	begin := time.Now()
+	send(t, half, "\r\nGET /ready HTTP/1.1\r\n")
+	send(t, endless, "POST /work HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n")
+	for _, part := range []string{"POST /work HTTP/1.1\r\nTransfer-", "Encoding: chunked\r\n\r\n1\r", "\na\r\n0\r\n", "\r\n"} {
+		send(t, slow, part)
+		send(t, endless, "1\r\na\r\n")
+		time.Sleep(300 * time.Millisecond)
+		other := dial(t, addr)
+		expectServed(t, other)
+		_ = other.Close()
+	}
+	if status := readStatus(slow); status != "200" {
+		t.Errorf("slow request: got %q, want status 200", status)
+	}
+	for name, conn := range map[string]net.Conn{"half-sent": half, "endless": endless} {
+		if status := readStatus(conn); status != "" {
+			t.Errorf("%s request: got %q, want no response", name, status)
+		}
+	}
+	if elapsed := time.Since(begin); elapsed > readTimeout+2*timeoutCheckInterval {
+		t.Errorf("connections closed after %v, want at most %v", elapsed, readTimeout+2*timeoutCheckInterval)
+	}
+}
