http1: unused connections do not keep other users out

Callers saw (test, real sockets): a client that opens all connections of a controller and sends nothing, or half a request, keeps every other user, worker and controller out for 10 s (half-sent) to 75 s (silent), and can go on for ever.

Cause: at the bound, each new connection was closed, whatever the others did.

Change: at the bound, the oldest connection that has not sent a complete request within a second of its opening makes room for the new one. Connections that have been used are kept, so a cluster at its limit behaves as before.

TestUsedConnectionsAreKept passes with and without it.

--- a/internal/wire/http1/server.go
+++ b/internal/wire/http1/server.go
@@ -24,8 +24,10 @@
 type conn struct {
 	evioConn         evio.Conn
 	reader           messageReader
+	requests         int // complete requests so far
 	awaitingResponse bool
 	isClosing        bool
+	openedAt         time.Time
 	lastActivity     time.Time
 
 	mu        sync.Mutex // guards the fields below
@@ -58,6 +60,8 @@
 	minServeTime = time.Second
 	// restartDelay is the delay before a server that has ended is restarted.
 	restartDelay = 500 * time.Millisecond
+	// minUnusedTime is how long a connection may be open without a complete request when connections are scarce.
+	minUnusedTime = time.Second
 	// timeoutCheckInterval is how often the connections are checked for the idle and read timeouts.
 	timeoutCheckInterval = time.Second
 )
@@ -99,10 +103,11 @@
 
 func (s *Server) onOpened(evioConn evio.Conn) ([]byte, evio.Options, evio.Action) {
 	// The process must not run out of sockets: accept would fail, and evio would end its loop.
-	if len(s.conns) >= s.options.MaxConnections {
+	now := time.Now()
+	if len(s.conns) >= s.options.MaxConnections && !s.closeUnused(now) {
 		return nil, evio.Options{}, evio.Close
 	}
-	state := &conn{evioConn: evioConn, reader: newMessageReader(false, MaxBodyBytes), lastActivity: time.Now()}
+	state := &conn{evioConn: evioConn, reader: newMessageReader(false, MaxBodyBytes), openedAt: now, lastActivity: now}
 	evioConn.SetContext(state)
 	s.conns[state] = struct{}{}
 	return nil, evio.Options{ReuseInputBuffer: true}, evio.None
@@ -166,6 +171,7 @@
 	// The body may be a slice of the buffer and now belongs to the request.
 	c.reader = newMessageReader(false, MaxBodyBytes)
 	c.awaitingResponse = true
+	c.requests++
 	return message, nil
 }
 
@@ -253,3 +259,21 @@
 	sinceActivity := now.Sub(c.lastActivity)
 	return c.reader.isPartial() && sinceActivity > options.ReadTimeout || sinceActivity > options.IdleTimeout
 }
+
+// closeUnused closes the oldest connection that has not sent a complete request for minUnusedTime since it was opened. It returns false if
+// there is none. So a client that opens connections without using them cannot keep others out.
+func (s *Server) closeUnused(now time.Time) bool {
+	var oldest *conn
+	for state := range s.conns {
+		isUnused := state.requests == 0 && !state.isClosing && now.Sub(state.openedAt) >= minUnusedTime
+		if isUnused && (oldest == nil || state.openedAt.Before(oldest.openedAt)) {
+			oldest = state
+		}
+	}
+	if oldest == nil {
+		return false
+	}
+	oldest.isClosing = true
+	oldest.evioConn.Wake()
+	return true
+}
--- a/internal/wire/http1/server_test.go
+++ b/internal/wire/http1/server_test.go
@@ -122,6 +122,49 @@
 	}
 }
 
+// TestUnusedConnectionsDoNotKeepOthersOut guards against a client that takes all connections of a controller with requests that it does not
+// send, or sends by half.
+func TestUnusedConnectionsDoNotKeepOthersOut(t *testing.T) {
+	const maxConnections = 8
+	addr := startServer(t, maxConnections, time.Minute)
+	for i := range 3 * maxConnections {
+		conn := dial(t, addr)
+		defer func() { _ = conn.Close() }()
+		if i%2 == 0 {
+			_, _ = conn.Write([]byte("POST /work HTTP/1.1\r\nContent-Length: 100\r\n\r\nhalf"))
+		}
+	}
+	time.Sleep(minUnusedTime + 500*time.Millisecond)
+	for range 3 {
+		conn := dial(t, addr)
+		expectServed(t, conn)
+		_ = conn.Close()
+	}
+}
+
+// TestUsedConnectionsAreKept checks that connections that have been used are not closed for others, and that the bound holds.
+func TestUsedConnectionsAreKept(t *testing.T) {
+	const maxConnections = 4
+	addr := startServer(t, maxConnections, time.Minute)
+	var used []net.Conn
+	for range maxConnections {
+		conn := dial(t, addr)
+		defer func() { _ = conn.Close() }()
+		expectServed(t, conn)
+		used = append(used, conn)
+	}
+	time.Sleep(minUnusedTime + 200*time.Millisecond)
+	refused := dial(t, addr)
+	defer func() { _ = refused.Close() }()
+	_, _ = refused.Write([]byte("GET /ready HTTP/1.1\r\n\r\n"))
+	if status := readStatus(refused); status != "" {
+		t.Errorf("connection beyond the bound: got %q, want it closed", status)
+	}
+	for _, conn := range used {
+		expectServed(t, conn)
+	}
+}
+
 // TestSlowRequestsEnd checks that a request that is sent slowly is served if it is complete within the read timeout, and that its
 // connection is closed otherwise, while other users are served.
 func TestSlowRequestsEnd(t *testing.T) {
