--- a/internal/simulator/cloud.go
+++ b/internal/simulator/cloud.go
@@ -9,6 +9,7 @@
 	"gullrudder/internal/controller/cloud"
 	"gullrudder/internal/simulator/workermessages"
 	"gullrudder/internal/wire/codec"
+	"gullrudder/internal/wire/workerapi"
 )
 
 // Cloud is the simulated cloud. It starts and terminates machines, each of which runs a worker.
@@ -208,6 +209,11 @@
 			return
 		}
 		m.fencingToken = commands.FencingToken
+		for _, command := range commands.Commands {
+			if command.Operation == workerapi.OperationStart {
+				c.sim.reportViolation(RuleStartOutsideResponse, "%s on %s", command.Task, m.id)
+			}
+		}
 		m.executeCommands(commands.Commands)
 		respond(http.StatusOK, m.heartbeat())
 	})
--- a/internal/simulator/rules.go
+++ b/internal/simulator/rules.go
@@ -36,6 +36,8 @@
 	RuleResultLost Rule = "result_lost"
 	// RuleSoundRefused is broken if a submission that the protocol allows gets status 400.
 	RuleSoundRefused Rule = "sound_refused"
+	// RuleStartOutsideResponse is broken if a start command arrives at a machine's own address.
+	RuleStartOutsideResponse Rule = "start_outside_response"
 	// RuleWorkLost is broken if a task that is to save a checkpoint gets less time than its user submitted.
 	RuleWorkLost Rule = "work_lost"
 	// RuleLeftWaiting is broken if a job waits longer than maxStartableWait although a machine has capacity for it.
--- a/internal/site/agent/state_test.go
+++ b/internal/site/agent/state_test.go
@@ -6,8 +6,10 @@
 	"testing"
 	"time"
 
+	"gullrudder/internal/units"
 	"gullrudder/internal/wire/codec"
 	"gullrudder/internal/wire/poolapi"
+	"gullrudder/internal/wire/workerapi"
 )
 
 // workerFixture is a worker's State with a simulated clock and a record of the running tasks.
@@ -321,3 +323,51 @@
 		t.Errorf("validate the report: %v", err)
 	}
 }
+
+// TestHeldUpStartIsDropped guards against a task that starts from a command that was held up: in a response that comes after its timeout or
+// after the lease, or that waits for the Spec while the task is stopped or the lease expires.
+func TestHeldUpStartIsDropped(t *testing.T) {
+	spec := Spec{JobID: "job-1", Command: []string{"true"}, Tasks: 1, CPUs: 1}
+	response := map[string]any{"helm": 5, "calls": []any{start("job-1/0", 1)}}
+	for name, hold := range map[string]time.Duration{
+		"past the timeout": responseTimeout + time.Millisecond, "until the lease ends": 9 * time.Second, "past the lease": 30 * time.Second,
+	} {
+		t.Run("response "+name, func(t *testing.T) {
+			tb := newFixture(t)
+			tb.now = tb.now.Add(hold)
+			tb.provideSpecs(tb.respond(200, response), spec)
+			if len(tb.running) > 0 || tb.attempts() != "" {
+				t.Errorf("attempts: got %q, running %v, want none", tb.attempts(), tb.running)
+			}
+		})
+	}
+	t.Run("spec after a kill", func(t *testing.T) {
+		tb := newFixture(t)
+		effects := tb.respond(200, response)
+		tb.sendCommands(5, 1, kill("job-1/0", 0))
+		tb.provideSpecs(effects, spec)
+		if len(tb.running) > 0 {
+			t.Errorf("running: got %v, want none", tb.running)
+		}
+	})
+	t.Run("spec past the lease", func(t *testing.T) {
+		tb := newFixture(t)
+		effects := tb.respond(200, response)
+		tb.advance(30 * time.Second)
+		tb.provideSpecs(effects, spec)
+		if len(tb.running) > 0 {
+			t.Errorf("running: got %v, want none", tb.running)
+		}
+	})
+}
+
+// TestCheckpointTimeIsComparedAsSent guards against work that is lost because a controller grants less than the submitted time to save.
+func TestCheckpointTimeIsComparedAsSent(t *testing.T) {
+	for _, seconds := range []float64{1.36, 2.05, 4.11} {
+		attempt := &taskAttempt{state: workerapi.StateRunning, spec: &Spec{CheckpointSeconds: seconds}}
+		granted := workerapi.KillAfterCheckpoint("job-1/0", 1, units.DurationOfAtLeast(seconds)).GraceSeconds
+		if !attempt.canSaveWithin(granted) {
+			t.Errorf("time to save of %v s: got %v s, which is not enough", seconds, *granted)
+		}
+	}
+}
