readability: standard words in names of tests and of a simulator rule

Renames only, no assertion changed: "sound" becomes "valid" in five names, a type Fields stands for the bare map of submissiontest.Encode, two local names are spelled out.

--- a/internal/controller/jobs/sound_test.go
+++ b/internal/controller/jobs/valid_test.go
@@ -44,8 +44,8 @@
 // amountFields are the fields that hold an amount. Each has no bound in the protocol.
 var amountFields = []string{"cpus", "cards", "mem_gb", "image_gb", "voyage_s", "mooring_s", "tieup_s", "landfall_s"}
 
-// TestSoundSubmissionsAreAccepted guards against the refusal of a value that the protocol allows. It sends each value in every spelling.
-func TestSoundSubmissionsAreAccepted(t *testing.T) {
+// TestValidSubmissionsAreAccepted guards against the refusal of a value that the protocol allows. It sends each value in every spelling.
+func TestValidSubmissionsAreAccepted(t *testing.T) {
 	rng := rand.New(rand.NewPCG(55, 1))
 	for _, field := range amountFields {
 		for _, amount := range submissiontest.Amounts() {
--- a/internal/simulator/rules.go
+++ b/internal/simulator/rules.go
@@ -34,8 +34,8 @@
 	RuleStartRefused Rule = "in_use"
 	// RuleResultLost is broken if a worker receives a forget command for a result that is not durable.
 	RuleResultLost Rule = "result_lost"
-	// RuleSoundRefused is broken if a submission that the protocol allows gets status 400.
-	RuleSoundRefused Rule = "sound_refused"
+	// RuleValidRefused is broken if a submission that the protocol allows gets status 400.
+	RuleValidRefused Rule = "valid_refused"
 	// RuleStartOutsideResponse is broken if a start command arrives at a machine's own address.
 	RuleStartOutsideResponse Rule = "start_outside_response"
 	// RuleWorkLost is broken if a task that is to save a checkpoint gets less time than its user submitted.
--- a/internal/simulator/users.go
+++ b/internal/simulator/users.go
@@ -210,10 +210,10 @@
 	job.isSubmitted = true
 	fields := SubmissionFields(spec)
 	maps.Copy(fields, job.otherFields)
-	body := preEncoded(submissiontest.Encode(u.spelling, fields))
+	body := preEncoded(submissiontest.Encode(u.spelling, submissiontest.Fields(fields)))
 	u.request("POST", "/work", body, func(status int, state string, sentAt time.Time) {
 		if status == http.StatusBadRequest {
-			u.sim.reportViolation(RuleSoundRefused, "the submission of %s got status 400: %x", spec.ID, []byte(body))
+			u.sim.reportViolation(RuleValidRefused, "the submission of %s got status 400: %x", spec.ID, []byte(body))
 		}
 		switch {
 		case status == http.StatusOK || status == http.StatusCreated:
--- a/internal/simulator/soundsubmissions_test.go
+++ b/internal/simulator/validsubmissions_test.go
@@ -29,7 +29,7 @@
 
 // Submissions with every amount that the protocol allows are accepted, survive failovers and run to their end. A submission that is
 // repeated in another spelling, at any controller, gets the state of the same job, also after the job is archived.
-func TestSoundSubmissionsRunToTheirEnd(t *testing.T) {
+func TestValidSubmissionsRunToTheirEnd(t *testing.T) {
 	forEachSeed(t, 2, pipelineCluster, func(sim scenario) {
 		count := sim.submitExtremeJobs()
 		sim.Run(3 * time.Second)
--- a/internal/units/units_test.go
+++ b/internal/units/units_test.go
@@ -9,8 +9,8 @@
 // TestDurationsSurviveRoundTrip guards against durations that become shorter each time they are written as seconds and read again.
 func TestDurationsSurviveRoundTrip(t *testing.T) {
 	for hundredths := range 100_000 {
-		decimal, odd := time.Duration(hundredths)*10*time.Millisecond, time.Duration(hundredths)*86_400_001
-		for _, duration := range []time.Duration{decimal, decimal + 1, odd} {
+		decimal, irregular := time.Duration(hundredths)*10*time.Millisecond, time.Duration(hundredths)*86_400_001
+		for _, duration := range []time.Duration{decimal, decimal + 1, irregular} {
 			if got := DurationFromSeconds(duration.Seconds()); got != duration {
 				t.Fatalf("%d ns: came back as %d ns", duration, got)
 			}
--- a/internal/wire/codec/validate_test.go
+++ b/internal/wire/codec/validate_test.go
@@ -84,10 +84,10 @@
 }
 
 // FuzzSubmissionSpelling checks that every spelling of a submission is decoded to the same fields.
-func FuzzSubmissionSpelling(f *testing.F) {
-	f.Add(uint64(1))
-	f.Add(uint64(2))
-	f.Fuzz(func(t *testing.T, seed uint64) {
+func FuzzSubmissionSpelling(fuzz *testing.F) {
+	fuzz.Add(uint64(1))
+	fuzz.Add(uint64(2))
+	fuzz.Fuzz(func(t *testing.T, seed uint64) {
 		rng := rand.New(rand.NewPCG(seed, 0))
 		fields := map[string]any{"id": "job-1", "strokes": 3, "keels": []string{"g8"}, "voyage_s": submissiontest.RandomAmount(rng)}
 		body := submissiontest.Encode(rng, fields)
--- a/internal/wire/http1/parse_test.go
+++ b/internal/wire/http1/parse_test.go
@@ -91,9 +91,9 @@
 	}
 }
 
-// TestSoundRequestsHaveOneMeaning guards against requests that RFC 9112 allows and that were refused: a chunked body, an empty line before
+// TestValidRequestsHaveOneMeaning guards against requests that RFC 9112 allows and that were refused: a chunked body, an empty line before
 // the request, and a target in absolute form. Each is also parsed byte by byte.
-func TestSoundRequestsHaveOneMeaning(t *testing.T) {
+func TestValidRequestsHaveOneMeaning(t *testing.T) {
 	chunked := "Transfer-Encoding: chunked\r\n\r\n"
 	for _, text := range []string{
 		"POST /work?x=1 HTTP/1.1\r\nContent-Length: 5\r\n\r\nhello",
--- a/internal/wire/submissiontest/encode.go
+++ b/internal/wire/submissiontest/encode.go
@@ -45,10 +45,13 @@
 	maxExactFloat = 1 << 53
 )
 
+// Fields are the fields of a submission by their names on the wire. A value is nil, a bool, a string, an int, a float64, a []string or a
+// []any.
+type Fields map[string]any
+
 // Encode encodes the fields of a submission in a random spelling: the fields are in random order, each number has any form that holds it
-// exactly, optional fields may be missing instead of null, and unknown fields are added. A value is nil, a bool, a string, an int, a
-// float64, a []string or a []any.
-func Encode(rng *rand.Rand, fields map[string]any) []byte {
+// exactly, optional fields may be missing instead of null, and unknown fields are added.
+func Encode(rng *rand.Rand, fields Fields) []byte {
 	names := make([]string, 0, len(fields))
 	for name, value := range fields {
 		if value != nil || rng.IntN(2) == 0 {
